Lay src/ out in a folder a subsystem

190 files in one folder hid what belongs together. Each subsystem gets a folder: base, bench, client, ctl, dispatcher, http, instance, membership, platform_store, schedule, scheduler, settings. Headers are still included by their bare name.

--- a/src/platform.h
+++ b/src/platform_store/platform.h
@@ -1,6 +1,6 @@
 /**
  * What the platform gives: a key-value service with compare-and-swap, leases and watches, and the
- * instance list. Back ends implement struct waxwing_platform_ops; src/platform_consul.c speaks the
+ * instance list. Back ends implement struct waxwing_platform_ops; src/platform_store/platform_consul.c speaks the
  * published HTTP dialect of Consul's KV, session and health API.
  *
  * Calls block; any thread may make them, each over a connection of its own. Every call is counted
