--- a/src/base/clock.c
+++ b/src/base/clock.c
@@ -25,6 +25,12 @@
 	return read_ms(CLOCK_REALTIME);
 }
 
+static int64_t boottime_now(const struct waxwing_clock *clock)
+{
+	(void)clock;
+	return read_ms(CLOCK_BOOTTIME);
+}
+
 static int64_t virtual_now(const struct waxwing_clock *clock)
 {
 	return ((const struct waxwing_virtual_clock *)clock)->now_ms;
@@ -32,16 +38,23 @@
 
 static const struct waxwing_clock_ops monotonic_ops = { .now = monotonic_now };
 static const struct waxwing_clock_ops wall_ops = { .now = wall_now };
+static const struct waxwing_clock_ops boottime_ops = { .now = boottime_now };
 static const struct waxwing_clock_ops virtual_ops = { .now = virtual_now };
 
 static const struct waxwing_clock monotonic_clock = { .ops = &monotonic_ops };
 static const struct waxwing_clock wall_clock = { .ops = &wall_ops };
+static const struct waxwing_clock boottime_clock = { .ops = &boottime_ops };
 
 const struct waxwing_clock *waxwing_clock_monotonic(void)
 {
 	return &monotonic_clock;
 }
 
+const struct waxwing_clock *waxwing_clock_boottime(void)
+{
+	return &boottime_clock;
+}
+
 const struct waxwing_clock *waxwing_clock_wall(void)
 {
 	return &wall_clock;
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -30,6 +30,9 @@
 /** The machine's monotonic clock. Static; never freed. Any thread. */
 const struct waxwing_clock *waxwing_clock_monotonic(void);
 
+/** As the monotonic clock, but counts the time that the machine was suspended too. Any thread. */
+const struct waxwing_clock *waxwing_clock_boottime(void);
+
 /** Milliseconds since 1970, for schedules and logs only. Static; never freed. Any thread. */
 const struct waxwing_clock *waxwing_clock_wall(void);
 
--- /dev/null
+++ b/src/base/event_log.c
@@ -0,0 +1,144 @@
+#include "event_log.h"
+
+#include "clock.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <glib.h>
+#include <stdarg.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#define LINE_BYTES     1024
+#define FIELDS_BYTES   640
+#define INTERVAL_MS    1000
+/* Lines of one kind in an interval. */
+#define BUDGET_LINES 60
+
+/* Spending of one kind of line. */
+struct budget {
+	int64_t interval_start_ms;
+	uint32_t written;
+	uint32_t left_out;
+};
+
+static struct {
+	char head[200];
+	bool open;
+	GHashTable *budgets; /* kind's address -> budget */
+	uint64_t dropped;
+} event_log;
+
+void waxwing_event_log_open(const char *node, const char *zone)
+{
+	int flags = fcntl(STDOUT_FILENO, F_GETFL);
+
+	if (flags >= 0)
+		fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+	snprintf(event_log.head, sizeof(event_log.head), "\"node\":\"%s\",\"zone\":\"%s\"", node,
+		 zone);
+	if (!event_log.budgets)
+		event_log.budgets = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	event_log.open = true;
+}
+
+static bool may_write(const char *kind, int64_t now_ms, uint32_t *left_out)
+{
+	struct budget *budget = g_hash_table_lookup(event_log.budgets, kind);
+
+	if (!budget) {
+		budget = g_new0(struct budget, 1);
+		g_hash_table_insert(event_log.budgets, (gpointer)kind, budget);
+	}
+	if (now_ms - budget->interval_start_ms >= INTERVAL_MS) {
+		budget->interval_start_ms = now_ms;
+		budget->written = 0;
+	}
+	if (budget->written >= BUDGET_LINES) {
+		budget->left_out++;
+		event_log.dropped++;
+		return false;
+	}
+	budget->written++;
+	*left_out = budget->left_out;
+	budget->left_out = 0;
+	return true;
+}
+
+static bool is_number(const char *text, size_t len)
+{
+	size_t first = len && text[0] == '-' ? 1 : 0;
+
+	/* leading zeros are ids, not numbers */
+	if (len == first || len > 15 || (text[first] == '0' && len > first + 1))
+		return false;
+	for (size_t i = first; i < len; i++)
+		if (!g_ascii_isdigit(text[i]))
+			return false;
+	return true;
+}
+
+static void add_value(GString *line, const char *text, size_t len)
+{
+	if (is_number(text, len)) {
+		g_string_append_len(line, text, (gssize)len);
+		return;
+	}
+	g_string_append_c(line, '"');
+	for (size_t i = 0; i < len; i++) {
+		unsigned char c = (unsigned char)text[i];
+
+		g_string_append_c(line, c < ' ' || c == '"' || c == '\\' || c > 0x7e ? '?' :
+										       (char)c);
+	}
+	g_string_append_c(line, '"');
+}
+
+static void add_fields(GString *line, const char *fields)
+{
+	while (*fields) {
+		size_t len = strcspn(fields, " ");
+		const char *equals = memchr(fields, '=', len);
+
+		if (equals) {
+			g_string_append_printf(line, ",\"%.*s\":", (int)(equals - fields), fields);
+			add_value(line, equals + 1, len - (size_t)(equals + 1 - fields));
+		}
+		fields += len + (fields[len] == ' ');
+	}
+}
+
+void waxwing_event(const char *kind, const char *format, ...)
+{
+	char fields[FIELDS_BYTES];
+	int64_t now_ms;
+	uint32_t left_out = 0;
+	GString *line;
+	va_list args;
+
+	if (!event_log.open)
+		return;
+	now_ms = waxwing_clock_now(waxwing_clock_monotonic());
+	if (!may_write(kind, now_ms, &left_out))
+		return;
+	va_start(args, format);
+	vsnprintf(fields, sizeof(fields), format, args);
+	va_end(args);
+	line = g_string_sized_new(LINE_BYTES);
+	g_string_printf(line, "{\"ms\":%lld,\"event\":\"%s\",%s",
+			(long long)waxwing_clock_now(waxwing_clock_wall()), kind, event_log.head);
+	add_fields(line, fields);
+	if (left_out)
+		g_string_append_printf(line, ",\"left_out\":%u", left_out);
+	g_string_append(line, "}\n");
+	if (write(STDOUT_FILENO, line->str, line->len) != (ssize_t)line->len)
+		event_log.dropped++;
+	g_string_free(line, TRUE);
+}
+
+uint64_t waxwing_event_log_dropped(void)
+{
+	return event_log.dropped;
+}
--- /dev/null
+++ b/src/cell/cell.c
@@ -0,0 +1,141 @@
+#include "cell_private.h"
+
+/* Between two sweeps over all jobs and executors. */
+#define SWEEP_MS 10
+
+static void free_kind(gpointer value)
+{
+	struct kind *kind = value;
+
+	g_free(kind->name);
+	g_free(kind);
+}
+
+static void free_queue(gpointer value)
+{
+	struct queue *queue = value;
+
+	g_free(queue->name);
+	g_free(queue);
+}
+
+struct waxwing_cell *waxwing_cell_create(int64_t now_ms, const struct waxwing_cell_options *options)
+{
+	struct waxwing_cell *cell = g_new0(struct waxwing_cell, 1);
+
+	cell->options = *options;
+	cell->options.name = g_strdup(options->name);
+	cell->created_ms = now_ms;
+	cell->next_life = 1;
+	cell->jobs = g_hash_table_new(g_int64_hash, g_int64_equal);
+	cell->ready = g_sequence_new(NULL);
+	cell->executors = g_hash_table_new(g_str_hash, g_str_equal);
+	cell->lives = g_hash_table_new(g_int64_hash, g_int64_equal);
+	cell->list = g_ptr_array_new();
+	cell->kinds = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_kind);
+	cell->queues = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_queue);
+	cell->verdicts = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	return cell;
+}
+
+void waxwing_cell_destroy(struct waxwing_cell *cell)
+{
+	GList *jobs;
+
+	if (!cell)
+		return;
+	for (guint i = 0; i < cell->list->len; i++) {
+		struct executor *executor = cell->list->pdata[i];
+
+		for (guint k = 0; k < executor->runs->len; k++)
+			g_free(executor->runs->pdata[k]);
+		executor_free(executor);
+	}
+	jobs = g_hash_table_get_values(cell->jobs);
+	for (GList *at = jobs; at; at = at->next)
+		job_free(cell, at->data);
+	g_list_free(jobs);
+	g_hash_table_destroy(cell->jobs);
+	g_sequence_free(cell->ready);
+	g_hash_table_destroy(cell->executors);
+	g_hash_table_destroy(cell->lives);
+	g_ptr_array_free(cell->list, TRUE);
+	g_hash_table_destroy(cell->kinds);
+	g_hash_table_destroy(cell->queues);
+	g_hash_table_destroy(cell->verdicts);
+	g_free((char *)cell->options.name);
+	g_free(cell);
+}
+
+void waxwing_cell_set_token(struct waxwing_cell *cell, uint64_t fencing_token)
+{
+	cell->options.fencing_token = MAX(cell->options.fencing_token, fencing_token);
+}
+
+void waxwing_cell_run(struct waxwing_cell *cell, int64_t now_ms)
+{
+	if (now_ms - cell->swept_ms >= SWEEP_MS) {
+		cell->swept_ms = now_ms;
+		cell_sweep_executors(cell, now_ms);
+		cell_sweep_jobs(cell, now_ms);
+	}
+	cell_place(cell, now_ms);
+	cell_hold_due(cell, now_ms);
+}
+
+bool waxwing_cell_busy(const struct waxwing_cell *cell)
+{
+	return cell->runs > 0;
+}
+
+void waxwing_cell_view(struct waxwing_cell *cell, int64_t now_ms, struct waxwing_cell_view *view)
+{
+	GSequenceIter *iter = g_sequence_get_begin_iter(cell->ready);
+
+	*view = (struct waxwing_cell_view){
+		.executors = cell->list->len,
+		.jobs = g_hash_table_size(cell->jobs),
+		.runs = cell->runs,
+		.wait_ms = (uint32_t)cell_wait_ms(cell, NULL, now_ms),
+		.starts = cell->starts,
+		.done = cell->done,
+		.failed = cell->failed,
+		.lapsed = cell->lapsed,
+		.refused = cell->refused,
+	};
+	for (; !g_sequence_iter_is_end(iter); iter = g_sequence_iter_next(iter))
+		view->waiting_tasks += ((struct cell_job *)g_sequence_get(iter))->ready;
+	for (guint i = 0; i < cell->list->len; i++) {
+		const struct executor *executor = cell->list->pdata[i];
+
+		if (!executor_usable(executor, now_ms) ||
+		    executor->used.cpu_milli > executor->capacity.cpu_milli)
+			continue;
+		view->usable++;
+		view->free_milli +=
+			(uint32_t)((executor->capacity.cpu_milli - executor->used.cpu_milli) *
+				   executor->speed.value);
+	}
+}
+
+void waxwing_cell_waiting(const struct waxwing_cell *cell,
+			  void (*each)(void *data, const char *queue, uint32_t jobs), void *data)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, cell->queues);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct queue *queue = value;
+
+		if (queue->waiting_jobs)
+			each(data, queue->name, queue->waiting_jobs);
+	}
+}
+
+uint32_t waxwing_cell_waiting_of(const struct waxwing_cell *cell, const char *queue)
+{
+	const struct queue *found = g_hash_table_lookup(cell->queues, queue);
+
+	return found ? found->waiting_jobs : 0;
+}
--- /dev/null
+++ b/src/cell/cell_hold.c
@@ -0,0 +1,203 @@
+#include "cell_private.h"
+
+#define LOG_PART "cell"
+#include "event_log.h"
+#include "log.h"
+
+/* Between two looks at an executor that does not answer. */
+#define SILENT_LOOK_MS 200
+/* Ends are acknowledged after this at the latest; a hold for a new run does it sooner. */
+#define ACK_DELAY_MS 150
+/* Weight of a silent executor, against a failed task. */
+#define SILENCE_WEIGHT 1.0
+
+static bool hold_is_due(const struct executor *executor, int64_t now_ms)
+{
+	if (executor->hold_out || now_ms < executor->hold_next_ms)
+		return false;
+	if (executor->hold_wanted || executor->runs->len || executor->silent)
+		return true;
+	return executor->ended_upto > executor->acked_upto && now_ms >= executor->ack_due_ms;
+}
+
+static void send_hold(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms)
+{
+	struct waxwing_order_target target;
+	bool extend = executor->answered && !executor->silent;
+
+	executor->hold_out = true;
+	executor->hold_wanted = false;
+	executor->hold_sent_ms = now_ms;
+	executor->acking = executor->ended_upto;
+	if (extend)
+		executor_lease_given(cell, executor, now_ms);
+	executor_target(cell, executor, &target);
+	cell->options.ops->hold(cell->options.data, &target,
+				extend ? executor_until(cell, executor, now_ms) : 0,
+				executor->acking, extend && executor->runs->len ? HOLD_WAIT_MS : 0);
+}
+
+void cell_hold_due(struct waxwing_cell *cell, int64_t now_ms)
+{
+	for (guint i = 0; i < cell->list->len; i++) {
+		struct executor *executor = cell->list->pdata[i];
+
+		if (hold_is_due(executor, now_ms))
+			send_hold(cell, executor, now_ms);
+	}
+}
+
+static struct cell_job *find_job(struct waxwing_cell *cell, const struct waxwing_run_name *name)
+{
+	struct cell_job *job = g_hash_table_lookup(cell->jobs, &name->job);
+
+	if (!job || name->occurrence != 0 || name->step >= job->spec->n_steps ||
+	    name->index >= job->steps[name->step].spec->count)
+		return NULL;
+	return job;
+}
+
+static void take_ended(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms,
+		       const struct waxwing_ended_row *row)
+{
+	struct cell_run *run = run_find(executor, &row->name);
+	struct cell_job *job = find_job(cell, &row->name);
+
+	if (row->number <= executor->ended_upto)
+		return;
+	executor->ended_upto = row->number;
+	if (run) {
+		run_ended(cell, run, row->end, now_ms);
+		return;
+	}
+	/* an end of a former owner's run, of a job that its issuer has offered again */
+	if (job && row->end == WAXWING_RUN_DONE)
+		job_task_done(cell, job, row->name.step, row->name.index, now_ms);
+}
+
+static void see_running(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms,
+			const struct waxwing_running_row *row)
+{
+	struct cell_run *run = run_find(executor, &row->name);
+	struct cell_job *job = find_job(cell, &row->name);
+
+	if (!run) {
+		/* what it needs is not known until its job is */
+		struct waxwing_capacity needs = { 0 };
+
+		run = run_create(cell, executor, &row->name, &needs);
+		run->state = RUN_RUNNING;
+		run->started_ms = now_ms;
+		run->seen_ms = now_ms;
+		executor->foreign++;
+		if (job)
+			run_adopt(cell, run, job);
+	}
+	if (run->state == RUN_STARTING || run->state == RUN_DOUBTFUL) {
+		run->state = RUN_RUNNING;
+		run->started_ms = now_ms;
+	}
+	if (row->percent > run->percent || !run->percent_ms) {
+		run->percent = row->percent;
+		run->percent_ms = now_ms;
+	}
+}
+
+static bool is_listed(const struct waxwing_hold_answer *answer, const struct cell_run *run)
+{
+	for (size_t i = 0; i < answer->running_count; i++) {
+		const struct waxwing_run_name *name = &answer->running[i].name;
+
+		if (name->job == run->name.job && name->step == run->name.step &&
+		    name->index == run->name.index && name->run == run->name.run)
+			return true;
+	}
+	return false;
+}
+
+/* A run that was there before the hold was sent, and is neither running nor ended, is gone. */
+static void miss_runs(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms,
+		      const struct waxwing_hold_answer *answer)
+{
+	for (guint i = executor->runs->len; i-- > 0;) {
+		struct cell_run *run = executor->runs->pdata[i];
+		bool there = run->state == RUN_RUNNING || run->state == RUN_STOPPING;
+
+		if (there && run->started_ms < executor->hold_sent_ms && !is_listed(answer, run)) {
+			waxwing_event("run_vanished", "executor=%s job=%016llx run=%u",
+				      executor->id, (unsigned long long)run->name.job,
+				      run->name.run);
+			run_ended(cell, run, WAXWING_RUN_LAPSED, now_ms);
+		}
+	}
+}
+
+static void no_answer(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms)
+{
+	if (!executor->silent) {
+		executor->silent = true;
+		waxwing_event("executor_silent", "executor=%s runs=%u", executor->id,
+			      executor->runs->len);
+		executor_failed(cell, executor, now_ms, SILENCE_WEIGHT);
+	}
+	executor->hold_wanted = true;
+	executor->hold_next_ms = now_ms + SILENT_LOOK_MS;
+}
+
+static void take_answer(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms,
+			const struct waxwing_hold_answer *answer)
+{
+	if (executor->silent) {
+		waxwing_event("executor_back", "executor=%s runs=%u", executor->id,
+			      executor->runs->len);
+		executor->silent = false;
+	}
+	executor_take_clock(executor, now_ms, answer->clock_ms);
+	executor->answered = true;
+	executor->acked_upto = MAX(executor->acked_upto, executor->acking);
+	for (size_t i = 0; i < answer->ended_count; i++)
+		take_ended(cell, executor, now_ms, &answer->ended[i]);
+	for (size_t i = 0; i < answer->running_count; i++)
+		see_running(cell, executor, now_ms, &answer->running[i]);
+	miss_runs(cell, executor, now_ms, answer);
+	executor->hold_next_ms = now_ms;
+	executor->ack_due_ms = now_ms + ACK_DELAY_MS;
+}
+
+void waxwing_cell_hold_answered(struct waxwing_cell *cell, int64_t now_ms, uint64_t life,
+				const struct waxwing_hold_answer *answer)
+{
+	struct executor *executor = cell_executor(cell, life);
+
+	if (!executor)
+		return;
+	executor->hold_out = false;
+	if (answer->end == WAXWING_HOLD_ANSWERED && answer->born_ms > executor->born_ms) {
+		if (executor->born_ms) {
+			executor->born_ms = answer->born_ms;
+			executor_new_life(cell, executor, now_ms);
+			return;
+		}
+		executor->born_ms = answer->born_ms;
+	}
+	switch (answer->end) {
+	case WAXWING_HOLD_ANSWERED:
+		take_answer(cell, executor, now_ms, answer);
+		break;
+	case WAXWING_HOLD_FENCED:
+		cell->options.ops->fenced(cell->options.data, executor->id);
+		break;
+	case WAXWING_HOLD_OTHER_LIFE:
+		/* the life that was meant is over, and all that ran in it */
+		waxwing_event("executor_gone", "executor=%s runs=%u", executor->id,
+			      executor->runs->len);
+		executor->removed = true;
+		while (executor->runs->len)
+			run_ended(cell, executor->runs->pdata[0], WAXWING_RUN_LAPSED, now_ms);
+		executor->leased_until_ms = 0;
+		break;
+	case WAXWING_HOLD_NO_ANSWER:
+		no_answer(cell, executor, now_ms);
+		break;
+	}
+}
--- /dev/null
+++ b/src/cell/cell_job.c
@@ -0,0 +1,507 @@
+#include "cell_private.h"
+
+#include <math.h>
+
+#define LOG_PART "cell"
+#include "event_log.h"
+#include "log.h"
+
+/* A job that ends after this many times its objective is worth nothing to its caller. */
+#define WORTHLESS_OBJECTIVES 3.0
+/* Failures at executors that fail most of what they start, which a task is allowed beside its own. */
+#define FAILURES_FORGIVEN 2
+/* Share of failures from which a failure is put down to the executor, and outcomes that tell it. */
+#define SUSPECT_SHARE	 0.5
+#define SUSPECT_OUTCOMES 2.0
+/* Verdicts are repeated to issuers that ask again for so long. */
+#define VERDICT_KEPT_MS 6000
+/* Least that a caller is told to wait before it comes back. */
+#define RETRY_AFTER_LEAST_MS 200
+/* Runs of a former owner's orders wait this long for their jobs to be offered again. */
+#define ORPHAN_KEPT_MS 300
+
+static int compare_jobs(gconstpointer a, gconstpointer b, gpointer user)
+{
+	const struct cell_job *left = a;
+	const struct cell_job *right = b;
+
+	(void)user;
+	if (left->late != right->late)
+		return left->late ? 1 : -1;
+	if (left->due_ms != right->due_ms)
+		return left->due_ms < right->due_ms ? -1 : 1;
+	return left->id < right->id ? -1 : left->id > right->id;
+}
+
+struct waxwing_capacity step_needs(const Waxwing__JobStep *step)
+{
+	return (struct waxwing_capacity){ step->cpu_milli, step->mem_mb, step->gpu };
+}
+
+static double estimate_ms(const Waxwing__JobStep *step)
+{
+	return step->estimated_ms ? step->estimated_ms : ESTIMATE_DEFAULT_MS;
+}
+
+double step_work_ms(const struct cell_job *job, const Waxwing__JobStep *step)
+{
+	return estimate_ms(step) * job->queue->ratio.mean_ms / RATIO_UNIT;
+}
+
+/* Work that the longest of a step's tasks will not often exceed. */
+static double step_longest_ms(const struct queue *queue, const Waxwing__JobStep *step)
+{
+	double share = pow(0.5, 1.0 / MAX(step->count, 1));
+
+	return estimate_ms(step) * waxwing_work_quantile(&queue->ratio, share) / RATIO_UNIT;
+}
+
+static double longest_chain_ms(const struct queue *queue, const Waxwing__Job *spec)
+{
+	double *ends = g_new0(double, spec->n_steps);
+	double longest = 0;
+
+	for (size_t i = 0; i < spec->n_steps; i++) {
+		double start = 0;
+
+		for (size_t k = 0; k < spec->steps[i]->n_after; k++)
+			start = MAX(start, ends[spec->steps[i]->after[k]]);
+		ends[i] = start + step_longest_ms(queue, spec->steps[i]);
+		longest = MAX(longest, ends[i]);
+	}
+	g_free(ends);
+	return longest;
+}
+
+static struct queue *find_queue(struct waxwing_cell *cell, const char *name)
+{
+	struct queue *queue = g_hash_table_lookup(cell->queues, name);
+
+	if (!queue) {
+		queue = g_new0(struct queue, 1);
+		queue->name = g_strdup(name);
+		waxwing_work_init(&queue->ratio, (uint32_t)RATIO_UNIT);
+		g_hash_table_insert(cell->queues, queue->name, queue);
+	}
+	return queue;
+}
+
+static void remove_from_ready(struct cell_job *job)
+{
+	if (job->place)
+		g_sequence_remove(job->place);
+	job->place = NULL;
+}
+
+static void count_ready(struct waxwing_cell *cell, struct cell_job *job, uint32_t step, int change)
+{
+	const Waxwing__JobStep *spec = job->steps[step].spec;
+
+	job->ready = (uint32_t)((int)job->ready + change);
+	cell->queued_core_ms += change * (double)spec->cpu_milli / 1000 * estimate_ms(spec);
+	if (!job->ready)
+		remove_from_ready(job);
+	else if (!job->place)
+		job->place = g_sequence_insert_sorted(cell->ready, job, compare_jobs, NULL);
+}
+
+void job_task_ready(struct waxwing_cell *cell, struct cell_job *job, uint32_t step, uint32_t index)
+{
+	job->steps[step].tasks[index].state = TASK_READY;
+	count_ready(cell, job, step, 1);
+}
+
+/* The task has a run now. */
+void job_task_taken(struct waxwing_cell *cell, struct cell_job *job, uint32_t step, uint32_t index)
+{
+	job->steps[step].tasks[index].state = TASK_OUT;
+	job->out++;
+	if (!job->started) {
+		job->started = true;
+		job->queue->waiting_jobs--;
+	}
+	count_ready(cell, job, step, -1);
+}
+
+static void open_steps(struct waxwing_cell *cell, struct cell_job *job)
+{
+	for (uint32_t i = 0; i < job->spec->n_steps; i++) {
+		struct cell_step *step = &job->steps[i];
+		bool open = !step->open;
+
+		for (size_t k = 0; k < step->spec->n_after && open; k++) {
+			const struct cell_step *before = &job->steps[step->spec->after[k]];
+
+			open = before->done == before->spec->count;
+		}
+		if (!open)
+			continue;
+		step->open = true;
+		for (uint32_t index = 0; index < step->spec->count; index++)
+			if (step->tasks[index].state == TASK_BLOCKED)
+				job_task_ready(cell, job, i, index);
+	}
+}
+
+void job_free(struct waxwing_cell *cell, struct cell_job *job)
+{
+	g_hash_table_remove(cell->jobs, &job->id);
+	for (uint32_t i = 0; i < job->spec->n_steps; i++) {
+		for (uint32_t k = 0; k < job->spec->steps[i]->count; k++)
+			g_free(job->steps[i].tasks[k].failed_at);
+		g_free(job->steps[i].tasks);
+	}
+	g_free(job->steps);
+	waxwing__job_offer__free_unpacked(job->offer, NULL);
+	g_free(job);
+}
+
+static void give_verdict(struct waxwing_cell *cell, uint64_t issuer, int64_t now_ms,
+			 const Waxwing__JobVerdict *verdict)
+{
+	struct verdict_kept *kept = g_new0(struct verdict_kept, 1);
+
+	kept->verdict = *verdict;
+	kept->until_ms = now_ms + VERDICT_KEPT_MS;
+	g_hash_table_replace(cell->verdicts, &kept->verdict.job, kept);
+	cell->options.ops->verdict(cell->options.data, issuer, verdict);
+}
+
+static void drop_ready_tasks(struct waxwing_cell *cell, struct cell_job *job)
+{
+	for (uint32_t i = 0; i < job->spec->n_steps; i++) {
+		for (uint32_t k = 0; k < job->spec->steps[i]->count; k++) {
+			if (job->steps[i].tasks[k].state != TASK_READY)
+				continue;
+			job->steps[i].tasks[k].state = TASK_DONE;
+			count_ready(cell, job, i, -1);
+		}
+	}
+}
+
+static void stop_runs(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms)
+{
+	for (uint32_t i = 0; i < job->spec->n_steps; i++) {
+		for (uint32_t k = 0; k < job->spec->steps[i]->count; k++) {
+			struct cell_run *run = job->steps[i].tasks[k].run;
+
+			if (run && run->state != RUN_STOPPING)
+				run_stop(cell, run, now_ms);
+		}
+	}
+}
+
+/* No order of the job is given any more; the job is freed when its last run has ended. */
+static void close_job(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms)
+{
+	job->ended = true;
+	if (!job->started)
+		job->queue->waiting_jobs--;
+	drop_ready_tasks(cell, job);
+	if (job->out)
+		stop_runs(cell, job, now_ms);
+	else
+		job_free(cell, job);
+}
+
+void job_end(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms,
+	     enum waxwing_job_outcome outcome, enum waxwing_error_code reason,
+	     uint32_t retry_after_ms)
+{
+	Waxwing__JobVerdict verdict = WAXWING__JOB_VERDICT__INIT;
+
+	verdict.job = job->id;
+	verdict.outcome = outcome;
+	verdict.has_reason = reason != WAXWING_OK;
+	verdict.reason = reason;
+	verdict.has_retry_after_ms = retry_after_ms != 0;
+	verdict.retry_after_ms = retry_after_ms;
+	cell->refused += outcome == WAXWING_JOB_REFUSED;
+	if (outcome != WAXWING_JOB_COMPLETED)
+		waxwing_event("job_ended", "job=%016llx outcome=%d reason=%s age_ms=%lld due_ms=%lld",
+			      (unsigned long long)job->id, outcome, waxwing_error_name(reason),
+			      (long long)(now_ms - job->arrived_ms),
+			      (long long)(job->due_ms - job->arrived_ms));
+	give_verdict(cell, job->issuer, now_ms, &verdict);
+	close_job(cell, job, now_ms);
+}
+
+void job_task_done(struct waxwing_cell *cell, struct cell_job *job, uint32_t step, uint32_t index,
+		   int64_t now_ms)
+{
+	struct task *task = &job->steps[step].tasks[index];
+
+	if (task->state == TASK_DONE || job->ended)
+		return;
+	if (task->state == TASK_READY)
+		count_ready(cell, job, step, -1);
+	else if (task->state == TASK_OUT && task->run)
+		return; /* another run of it is out; its own end will tell */
+	task->state = TASK_DONE;
+	job->steps[step].done++;
+	job->undone--;
+	if (!job->undone) {
+		if (!job->started) {
+			job->started = true;
+			job->queue->waiting_jobs--;
+		}
+		job_end(cell, job, now_ms, WAXWING_JOB_COMPLETED, WAXWING_OK, 0);
+	} else if (job->steps[step].done == job->steps[step].spec->count) {
+		open_steps(cell, job);
+	}
+}
+
+static bool is_suspect(const struct executor *executor)
+{
+	const struct waxwing_breaker *breaker = &executor->breaker;
+
+	if (breaker->state != WAXWING_BREAKER_CLOSED)
+		return true;
+	return breaker->total >= SUSPECT_OUTCOMES &&
+	       breaker->failed > breaker->total * SUSPECT_SHARE;
+}
+
+void job_task_failed(struct waxwing_cell *cell, struct cell_job *job, uint32_t step, uint32_t index,
+		     const struct executor *executor, int64_t now_ms)
+{
+	struct task *task = &job->steps[step].tasks[index];
+	uint32_t most = job->spec->max_attempts;
+
+	task->failures++;
+	g_free(task->failed_at);
+	task->failed_at = g_strdup(executor->id);
+	if (is_suspect(executor))
+		most += FAILURES_FORGIVEN;
+	if (task->failures < most) {
+		job_task_ready(cell, job, step, index);
+		return;
+	}
+	task->state = TASK_DONE;
+	job_end(cell, job, now_ms, WAXWING_JOB_FAILED, WAXWING_ERROR_TASK_FAILED, 0);
+}
+
+static void refuse_offer(struct waxwing_cell *cell, int64_t now_ms, uint64_t issuer,
+			 Waxwing__JobOffer *offer, enum waxwing_error_code reason,
+			 uint32_t retry_after_ms)
+{
+	Waxwing__JobVerdict verdict = WAXWING__JOB_VERDICT__INIT;
+
+	verdict.job = offer->job->id;
+	verdict.outcome = WAXWING_JOB_REFUSED;
+	verdict.has_reason = true;
+	verdict.reason = reason;
+	verdict.has_retry_after_ms = retry_after_ms != 0;
+	verdict.retry_after_ms = retry_after_ms;
+	cell->refused++;
+	waxwing_event("job_refused", "job=%016llx queue=%s reason=%s retry_after_ms=%u ready_tasks=%u",
+		      (unsigned long long)offer->job->id, offer->job->queue,
+		      waxwing_error_name(reason), retry_after_ms,
+		      g_sequence_get_length(cell->ready));
+	give_verdict(cell, issuer, now_ms, &verdict);
+	waxwing__job_offer__free_unpacked(offer, NULL);
+}
+
+/* True when the offer is of a job that needs no taking in; answers what can be answered. */
+static bool is_known(struct waxwing_cell *cell, uint64_t issuer, Waxwing__JobOffer *offer)
+{
+	struct cell_job *job = g_hash_table_lookup(cell->jobs, &offer->job->id);
+	struct verdict_kept *kept = g_hash_table_lookup(cell->verdicts, &offer->job->id);
+
+	if (job && !job->ended) {
+		job->issuer = issuer;
+	} else if (kept) {
+		cell->options.ops->verdict(cell->options.data, issuer, &kept->verdict);
+	} else {
+		return false;
+	}
+	waxwing__job_offer__free_unpacked(offer, NULL);
+	return true;
+}
+
+static struct cell_job *create_job(struct waxwing_cell *cell, int64_t now_ms, uint64_t issuer,
+				   Waxwing__JobOffer *offer)
+{
+	struct cell_job *job = g_new0(struct cell_job, 1);
+	double objective_ms;
+
+	job->offer = offer;
+	job->spec = offer->job;
+	job->id = offer->job->id;
+	job->issuer = issuer;
+	job->queue = find_queue(cell, offer->job->queue);
+	job->arrived_ms = now_ms - offer->age_ms;
+	objective_ms = offer->job->allowance_ms + offer->job->stretch_milli / 1000.0 *
+							  longest_chain_ms(job->queue, job->spec);
+	job->due_ms = job->arrived_ms + (int64_t)objective_ms;
+	if (offer->running_before)
+		job->unsure_until_ms =
+			cell->created_ms +
+			(int64_t)(cell->options.lease_most_ms / SLOWEST_CLOCK) + CERTAINTY_MS;
+	job->steps = g_new0(struct cell_step, job->spec->n_steps);
+	for (size_t i = 0; i < job->spec->n_steps; i++) {
+		job->steps[i].spec = job->spec->steps[i];
+		job->steps[i].tasks = g_new0(struct task, job->spec->steps[i]->count);
+		job->undone += job->spec->steps[i]->count;
+	}
+	job->queue->waiting_jobs++;
+	g_hash_table_insert(cell->jobs, &job->id, job);
+	open_steps(cell, job);
+	return job;
+}
+
+/* Runs that were found before their job was offered. */
+static void adopt_runs(struct waxwing_cell *cell, struct cell_job *job)
+{
+	for (guint i = 0; i < cell->list->len; i++) {
+		struct executor *executor = cell->list->pdata[i];
+
+		for (guint k = 0; executor->foreign && k < executor->runs->len; k++) {
+			struct cell_run *run = executor->runs->pdata[k];
+
+			if (!run->job && run->name.job == job->id &&
+			    run->name.step < job->spec->n_steps &&
+			    run->name.index < job->spec->steps[run->name.step]->count &&
+			    run->state == RUN_RUNNING)
+				run_adopt(cell, run, job);
+		}
+	}
+}
+
+static int64_t worthless_ms(const struct cell_job *job)
+{
+	return job->arrived_ms +
+	       (int64_t)(WORTHLESS_OBJECTIVES * (double)(job->due_ms - job->arrived_ms));
+}
+
+/* The end that a new job can expect, with what is due before it done first. */
+static bool will_be_worthless(struct waxwing_cell *cell, int64_t now_ms, struct cell_job *job,
+			      uint32_t *wait_ms)
+{
+	double work = longest_chain_ms(job->queue, job->spec);
+	double ahead = 0;
+	double capacity = cell_capacity(cell, job->spec->service, now_ms);
+	GSequenceIter *iter = g_sequence_get_begin_iter(cell->ready);
+
+	for (; !g_sequence_iter_is_end(iter); iter = g_sequence_iter_next(iter)) {
+		const struct cell_job *other = g_sequence_get(iter);
+
+		if (other == job || compare_jobs(other, job, NULL) > 0)
+			break;
+		if (strcmp(other->spec->service, job->spec->service) != 0)
+			continue;
+		for (size_t i = 0; i < other->spec->n_steps; i++)
+			ahead += other->ready * (double)other->steps[i].spec->cpu_milli / 1000 *
+				 step_work_ms(other, other->steps[i].spec) /
+				 (double)other->spec->n_steps;
+	}
+	*wait_ms = (uint32_t)(capacity > 0 ? ahead / capacity : 0);
+	return now_ms + (int64_t)(*wait_ms + work) > worthless_ms(job);
+}
+
+void waxwing_cell_offer(struct waxwing_cell *cell, int64_t now_ms, uint64_t issuer,
+			Waxwing__JobOffer *offer)
+{
+	const Waxwing__Job *spec = offer->job;
+	bool before = offer->running_before;
+	struct cell_job *job;
+	uint32_t wait_ms;
+
+	if (is_known(cell, issuer, offer))
+		return;
+	job = g_hash_table_lookup(cell->jobs, &spec->id);
+	if (job) {
+		/* an earlier submission's runs are still being stopped */
+		refuse_offer(cell, now_ms, issuer, offer, WAXWING_ERROR_OVERLOAD,
+			     RETRY_AFTER_LEAST_MS);
+		return;
+	}
+	for (size_t i = 0; i < spec->n_steps && !before; i++) {
+		if (!step_fits_somewhere(cell, spec, spec->steps[i])) {
+			refuse_offer(cell, now_ms, issuer, offer, WAXWING_ERROR_NO_UPSTREAM,
+				     RETRY_AFTER_LEAST_MS * 5);
+			return;
+		}
+	}
+	job = create_job(cell, now_ms, issuer, offer);
+	adopt_runs(cell, job);
+	if (!before && will_be_worthless(cell, now_ms, job, &wait_ms))
+		job_end(cell, job, now_ms, WAXWING_JOB_REFUSED, WAXWING_ERROR_OVERLOAD,
+			MAX(wait_ms, RETRY_AFTER_LEAST_MS));
+}
+
+void waxwing_cell_withdraw(struct waxwing_cell *cell, int64_t now_ms, uint64_t id)
+{
+	struct cell_job *job = g_hash_table_lookup(cell->jobs, &id);
+
+	if (!job || job->ended)
+		return;
+	waxwing_event("job_withdrawn", "job=%016llx out=%u undone=%u", (unsigned long long)id,
+		      job->out, job->undone);
+	close_job(cell, job, now_ms);
+}
+
+void waxwing_cell_forget_issuer(struct waxwing_cell *cell, int64_t now_ms, uint64_t issuer)
+{
+	GList *jobs = g_hash_table_get_values(cell->jobs);
+
+	for (GList *at = jobs; at; at = at->next) {
+		struct cell_job *job = at->data;
+
+		if (job->issuer == issuer && !job->ended)
+			waxwing_cell_withdraw(cell, now_ms, job->id);
+	}
+	g_list_free(jobs);
+}
+
+static void sweep_job(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms)
+{
+	if (job->ended)
+		return;
+	if (!job->started && now_ms > worthless_ms(job)) {
+		job_end(cell, job, now_ms, WAXWING_JOB_REFUSED, WAXWING_ERROR_DEADLINE,
+			(uint32_t)MAX(cell_wait_ms(cell, job->spec->service, now_ms),
+				      RETRY_AFTER_LEAST_MS));
+		return;
+	}
+	if (!job->late && now_ms > job->due_ms) {
+		job->late = true;
+		if (job->place)
+			g_sequence_sort_changed(job->place, compare_jobs, NULL);
+	}
+}
+
+static void sweep_runs(struct waxwing_cell *cell, int64_t now_ms)
+{
+	for (guint i = 0; i < cell->list->len; i++) {
+		struct executor *executor = cell->list->pdata[i];
+
+		for (guint k = 0; k < executor->runs->len; k++) {
+			struct cell_run *run = executor->runs->pdata[k];
+			bool again = run->state == RUN_STOPPING && now_ms >= run->stop_next_ms;
+			bool orphan = !run->job && run->state == RUN_RUNNING &&
+				      now_ms - run->seen_ms >= ORPHAN_KEPT_MS;
+
+			if (again || orphan)
+				run_stop(cell, run, now_ms);
+		}
+	}
+}
+
+static gboolean verdict_is_old(gpointer key, gpointer value, gpointer now_ms)
+{
+	const struct verdict_kept *kept = value;
+
+	(void)key;
+	return kept->until_ms <= *(int64_t *)now_ms;
+}
+
+void cell_sweep_jobs(struct waxwing_cell *cell, int64_t now_ms)
+{
+	GList *jobs = g_hash_table_get_values(cell->jobs);
+
+	for (GList *at = jobs; at; at = at->next)
+		sweep_job(cell, at->data, now_ms);
+	g_list_free(jobs);
+	sweep_runs(cell, now_ms);
+	g_hash_table_foreach_remove(cell->verdicts, verdict_is_old, &now_ms);
+}
--- /dev/null
+++ b/src/cell/cell_private.h
@@ -0,0 +1,220 @@
+#ifndef WAXWING_CELL_PRIVATE_H
+#define WAXWING_CELL_PRIVATE_H
+
+#include "breaker.h"
+#include "cell.h"
+#include "estimate.h"
+
+#include <glib.h>
+
+/* Lease asked for at each hold and start: several holds may be late before it runs out. */
+#define LEASE_MS 900
+/* A hold waits this long at the executor for an end. */
+#define HOLD_WAIT_MS 250
+/* Slowest that an executor's clock may run, by the protocol. */
+#define SLOWEST_CLOCK 0.98
+/* Added to times that must have passed on another machine. */
+#define CERTAINTY_MS 30
+/* An executor that the list has lost is used on for so long (store outages lose entries). */
+#define MISSING_USED_MS 2000
+/* Percent are work units: run times are learnt as a share of the estimate. */
+#define RATIO_UNIT 100.0
+/* Assumed for a step that gives no estimate. */
+#define ESTIMATE_DEFAULT_MS 200
+
+enum task_state {
+	TASK_BLOCKED, /* steps before it have not ended */
+	TASK_READY,
+	TASK_OUT, /* a run of it may hold a lease */
+	TASK_DONE,
+};
+
+enum run_state {
+	RUN_STARTING,
+	RUN_RUNNING,
+	RUN_DOUBTFUL, /* no answer to its start */
+	RUN_STOPPING,
+};
+
+struct task {
+	struct cell_run *run; /* of TASK_OUT */
+	uint32_t last_run; /* highest number used or seen */
+	uint32_t failures;
+	enum task_state state;
+	char *failed_at; /* id of the executor of the last failure; null: none */
+};
+
+struct cell_step {
+	const Waxwing__JobStep *spec;
+	struct task *tasks;
+	uint32_t done;
+	bool open; /* all steps before it have ended */
+};
+
+struct cell_job {
+	uint64_t id;
+	uint64_t issuer;
+	Waxwing__JobOffer *offer;
+	const Waxwing__Job *spec;
+	struct cell_step *steps;
+	struct queue *queue;
+	int64_t arrived_ms;
+	int64_t due_ms; /* when it should have ended */
+	int64_t unsure_until_ms; /* its tasks may run on a former owner's orders */
+	uint32_t ready; /* tasks in TASK_READY */
+	uint32_t out;
+	uint32_t undone;
+	bool started;
+	bool late; /* past its due time: others come first */
+	bool ended; /* its verdict is out; runs are being stopped */
+	GSequenceIter *place; /* among the jobs that have ready tasks; null: none */
+};
+
+/* A queue's learnt run times, as a share of the estimate. */
+struct queue {
+	char *name;
+	struct waxwing_work ratio;
+	uint32_t waiting_jobs; /* no task has started */
+};
+
+struct executor {
+	char *id;
+	char *address;
+	char *service;
+	char *kind_name;
+	char *rack;
+	char **labels;
+	struct waxwing_capacity capacity;
+	struct waxwing_capacity used;
+	struct waxwing_speed speed;
+	struct waxwing_breaker breaker;
+	struct kind *kind;
+	uint64_t life;
+	int64_t born_ms;
+	int64_t missing_since_ms; /* 0: listed */
+	bool draining;
+	bool removed; /* freed once nothing runs there */
+	/* holds */
+	bool hold_out;
+	bool hold_wanted; /* at once, though nothing runs */
+	bool answered; /* has answered under this token */
+	bool silent; /* the last call had no answer */
+	int64_t hold_sent_ms;
+	int64_t hold_next_ms; /* not sooner: after silence */
+	int64_t ack_due_ms; /* ends are acknowledged by then, though nothing runs */
+	int64_t leased_until_ms; /* leases given there have run out by then */
+	int64_t clock_ms; /* executor's clock at clock_at_ms */
+	int64_t clock_at_ms;
+	uint64_t ended_upto; /* ends taken */
+	uint64_t acked_upto; /* said to the executor, and answered */
+	uint64_t acking; /* in the hold that is out */
+	int64_t full_until_ms; /* it said that it has no room */
+	GPtrArray *runs; /* struct cell_run */
+	uint32_t foreign; /* runs of unknown jobs */
+};
+
+/* What executors of one kind have in common. */
+struct kind {
+	char *name;
+	struct waxwing_speed speed;
+};
+
+struct cell_run {
+	struct waxwing_run_name name;
+	struct cell_job *job; /* null: of an unknown job */
+	struct executor *executor;
+	struct waxwing_capacity needs;
+	enum run_state state;
+	int64_t started_ms; /* when its start was answered, or sent */
+	int64_t stop_next_ms;
+	int64_t seen_ms; /* foreign: first seen */
+	uint32_t percent;
+	int64_t percent_ms; /* when percent last rose */
+};
+
+struct verdict_kept {
+	int64_t until_ms;
+	Waxwing__JobVerdict verdict;
+};
+
+struct waxwing_cell {
+	struct waxwing_cell_options options;
+	GHashTable *jobs; /* id -> cell_job */
+	GSequence *ready; /* cell_job, in the order of service */
+	GHashTable *executors; /* id -> executor */
+	GHashTable *lives; /* life -> executor */
+	GPtrArray *list; /* executors */
+	GHashTable *kinds;
+	GHashTable *queues;
+	GHashTable *verdicts; /* job -> verdict_kept */
+	int64_t created_ms;
+	int64_t swept_ms;
+	uint64_t next_life;
+	uint32_t runs;
+	double queued_core_ms; /* of ready tasks, at speed 1 */
+	uint64_t starts;
+	uint64_t done;
+	uint64_t failed;
+	uint64_t lapsed;
+	uint64_t refused;
+};
+
+/* cell_executor.c */
+void executor_free(struct executor *executor);
+bool executor_usable(const struct executor *executor, int64_t now_ms);
+bool executor_has_label(const struct executor *executor, const char *label);
+struct executor *cell_executor(struct waxwing_cell *cell, uint64_t life);
+void executor_target(const struct waxwing_cell *cell, const struct executor *executor,
+		     struct waxwing_order_target *target);
+int64_t executor_until(const struct waxwing_cell *cell, const struct executor *executor,
+		       int64_t now_ms);
+void executor_lease_given(const struct waxwing_cell *cell, struct executor *executor,
+			  int64_t now_ms);
+void executor_take_clock(struct executor *executor, int64_t now_ms, int64_t clock_ms);
+void executor_failed(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms,
+		     double weight);
+void executor_new_life(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms);
+void cell_sweep_executors(struct waxwing_cell *cell, int64_t now_ms);
+
+/* cell_hold.c */
+void cell_hold_due(struct waxwing_cell *cell, int64_t now_ms);
+
+/* cell_run.c */
+struct cell_run *run_create(struct waxwing_cell *cell, struct executor *executor,
+			    const struct waxwing_run_name *name,
+			    const struct waxwing_capacity *needs);
+struct cell_run *run_find(const struct executor *executor, const struct waxwing_run_name *name);
+void run_adopt(struct waxwing_cell *cell, struct cell_run *run, struct cell_job *job);
+void run_stop(struct waxwing_cell *cell, struct cell_run *run, int64_t now_ms);
+void run_free(struct waxwing_cell *cell, struct cell_run *run);
+void run_ended(struct waxwing_cell *cell, struct cell_run *run, enum waxwing_run_end end,
+	       int64_t now_ms);
+
+/* cell_job.c */
+void job_free(struct waxwing_cell *cell, struct cell_job *job);
+struct waxwing_capacity step_needs(const Waxwing__JobStep *step);
+double step_work_ms(const struct cell_job *job, const Waxwing__JobStep *step);
+void job_task_ready(struct waxwing_cell *cell, struct cell_job *job, uint32_t step, uint32_t index);
+void job_task_taken(struct waxwing_cell *cell, struct cell_job *job, uint32_t step, uint32_t index);
+void job_task_done(struct waxwing_cell *cell, struct cell_job *job, uint32_t step, uint32_t index,
+		   int64_t now_ms);
+void job_task_failed(struct waxwing_cell *cell, struct cell_job *job, uint32_t step, uint32_t index,
+		     const struct executor *executor, int64_t now_ms);
+void job_end(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms,
+	     enum waxwing_job_outcome outcome, enum waxwing_error_code reason,
+	     uint32_t retry_after_ms);
+void cell_sweep_jobs(struct waxwing_cell *cell, int64_t now_ms);
+
+/* cell_place.c */
+void cell_place(struct waxwing_cell *cell, int64_t now_ms);
+double cell_capacity(const struct waxwing_cell *cell, const char *service, int64_t now_ms);
+double cell_wait_ms(const struct waxwing_cell *cell, const char *service, int64_t now_ms);
+bool step_fits_somewhere(const struct waxwing_cell *cell, const Waxwing__Job *spec,
+			 const Waxwing__JobStep *step);
+
+static inline struct task *run_task(const struct cell_run *run)
+{
+	return &run->job->steps[run->name.step].tasks[run->name.index];
+}
+
+#endif
--- /dev/null
+++ b/src/node/node.c
@@ -0,0 +1,299 @@
+#include "node_private.h"
+
+#define LOG_PART "node"
+#include "event_log.h"
+#include "log.h"
+
+#include <glib.h>
+
+/*
+ * Executors' entries change with each of their heartbeats; calls to the store are few and shared. An
+ * owner has to know of executors that leave well within the time that they are given.
+ */
+#define ENTRIES_PACE_OWNER_MS 400
+#define ENTRIES_PACE_MS	      2000
+
+/* A turn of the loop that took so long is noted: the machine stood still, or was short of time. */
+#define STALL_MS 250
+
+static void note_reached(struct waxwing_node *node, bool reached)
+{
+	int64_t now_ms = node_now(node);
+
+	if (reached) {
+		node->store_reached_ms = now_ms;
+		if (node->store_lost_ms)
+			waxwing_event("store_regained", "lost_ms=%lld",
+				      (long long)(now_ms - node->store_lost_ms));
+		node->store_lost_ms = 0;
+	} else if (!node->store_lost_ms) {
+		node->store_lost_ms = now_ms;
+		waxwing_event("store_lost", "reached_ms_ago=%lld",
+			      (long long)(now_ms - node->store_reached_ms));
+	}
+}
+
+static void store_reached(void *data, bool reached)
+{
+	note_reached(data, reached);
+}
+
+static void routing_changed(void *data, const struct waxwing_store_item *item)
+{
+	struct waxwing_node *node = data;
+	struct waxwing_routing *routing;
+
+	if (item->deleted || !waxwing_str_equal(item->key, waxwing_str(node->options.routing_key)))
+		return;
+	routing = node->options.read_routing(item);
+	if (!routing)
+		return;
+	if (node->routing && routing->version <= node->routing->version) {
+		waxwing_event("routing_kept", "version=%llu offered=%llu",
+			      (unsigned long long)node->routing->version,
+			      (unsigned long long)routing->version);
+		waxwing_routing_destroy(routing);
+		return;
+	}
+	waxwing_event("routing_in_force", "version=%llu queues=%u revision=%llu",
+		      (unsigned long long)routing->version, routing->queues->len,
+		      (unsigned long long)item->revision);
+	waxwing_routing_destroy(node->routing);
+	node->routing = routing;
+	node->routing_ms = node_now(node);
+}
+
+static void owner_entry_changed(void *data, const struct waxwing_store_item *item)
+{
+	struct waxwing_node *node = data;
+	char *key = waxwing_str_dup(item->key);
+	struct node_cell *at = node_cell_find(node, key + strlen(WAXWING_CLAIM_PREFIX));
+
+	if (at)
+		waxwing_claim_seen(at->claim, item);
+	g_free(key);
+}
+
+static void executor_entry_changed(void *data, const struct waxwing_store_item *item)
+{
+	node_executors_changed(data, item);
+}
+
+static struct waxwing_store_watch *
+watch(struct waxwing_node *node, const char *prefix,
+      void (*changed)(void *data, const struct waxwing_store_item *item))
+{
+	struct waxwing_store_watch_options options = {
+		.store = node->options.store,
+		.clock = node->clock,
+		.prefix = prefix,
+		.changed = changed,
+		.reached = store_reached,
+		.data = node,
+	};
+
+	return waxwing_store_watch_create(&options);
+}
+
+/* Cells that had events do their work, and what came of it is told, until all is quiet. */
+static void settle(struct waxwing_node *node)
+{
+	int64_t now_ms = node_now(node);
+
+	if (node->touched) {
+		node->touched = false;
+		for (guint i = 0; i < node->cells->len; i++)
+			node_owner_run(node->cells->pdata[i], now_ms);
+	}
+	node_jobs_tell(node);
+}
+
+static void after_events(uv_check_t *check)
+{
+	settle(check->data);
+}
+
+static bool owns_cell(const struct waxwing_node *node)
+{
+	for (guint i = 0; i < node->cells->len; i++)
+		if (((const struct node_cell *)node->cells->pdata[i])->cell)
+			return true;
+	return false;
+}
+
+static void tick(uv_timer_t *timer)
+{
+	struct waxwing_node *node = timer->data;
+	int64_t now_ms = node_now(node);
+
+	if (node->last_turn_ms && now_ms - node->last_turn_ms >= STALL_MS)
+		waxwing_event("stalled", "ms=%lld", (long long)(now_ms - node->last_turn_ms));
+	node->last_turn_ms = now_ms;
+	waxwing_store_watch_set_pace(node->executor_watch,
+				     owns_cell(node) ? ENTRIES_PACE_OWNER_MS : ENTRIES_PACE_MS);
+	waxwing_store_watch_run(node->routing_watch);
+	waxwing_store_watch_run(node->owner_watch);
+	waxwing_store_watch_run(node->executor_watch);
+	if (waxwing_store_watch_synced(node->owner_watch) &&
+	    waxwing_store_watch_synced(node->executor_watch))
+		for (guint i = 0; i < node->cells->len; i++)
+			waxwing_claim_synced(((struct node_cell *)node->cells->pdata[i])->claim);
+	node_cells_run(node, now_ms);
+	node_jobs_run(node, now_ms);
+	settle(node);
+}
+
+static uint64_t random_incarnation(void)
+{
+	uint64_t incarnation = (uint64_t)g_random_int() << 32 | g_random_int();
+
+	return incarnation | 1; /* ZeroMQ's routing ids do not begin with a zero byte */
+}
+
+struct waxwing_node *waxwing_node_create(const struct waxwing_node_options *options,
+					 struct waxwing_error *error)
+{
+	struct waxwing_node *node = g_new0(struct waxwing_node, 1);
+	struct waxwing_link_options link = {
+		.loop = options->loop,
+		.address = options->address,
+		.received = node_received,
+		.data = node,
+	};
+
+	node->options = *options;
+	node->clock = waxwing_clock_boottime();
+	node->incarnation = random_incarnation();
+	link.incarnation = node->incarnation;
+	node->link = waxwing_link_create(&link, error);
+	if (!node->link) {
+		g_free(node);
+		return NULL;
+	}
+	node->next_ownership = 1;
+	node->cells = g_ptr_array_new();
+	node->verdicts = g_ptr_array_new_with_free_func(g_free);
+	node->pendings =
+		g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, node_pending_free);
+	node_cells_create(node);
+	node->routing_watch = watch(node, options->routing_key, routing_changed);
+	node->owner_watch = watch(node, WAXWING_CLAIM_PREFIX, owner_entry_changed);
+	node->executor_watch = watch(node, options->executor_prefix, executor_entry_changed);
+	uv_timer_init(options->loop, &node->timer);
+	node->timer.data = node;
+	uv_timer_start(&node->timer, tick, 0, TICK_MS);
+	uv_check_init(options->loop, &node->after_events);
+	node->after_events.data = node;
+	uv_check_start(&node->after_events, after_events);
+	return node;
+}
+
+static void node_closed(uv_handle_t *handle)
+{
+	g_free(handle->data);
+}
+
+void waxwing_node_destroy(struct waxwing_node *node)
+{
+	if (!node)
+		return;
+	waxwing_store_watch_destroy(node->routing_watch);
+	waxwing_store_watch_destroy(node->owner_watch);
+	waxwing_store_watch_destroy(node->executor_watch);
+	node_cells_destroy(node);
+	waxwing_link_destroy(node->link);
+	waxwing_routing_destroy(node->routing);
+	g_hash_table_destroy(node->pendings);
+	g_ptr_array_free(node->verdicts, TRUE);
+	if (node->entries)
+		g_hash_table_destroy(node->entries);
+	uv_close((uv_handle_t *)&node->after_events, NULL);
+	uv_close((uv_handle_t *)&node->timer, node_closed);
+}
+
+const struct waxwing_routing *waxwing_node_routing(const struct waxwing_node *node)
+{
+	return node->routing;
+}
+
+bool waxwing_node_ready(const struct waxwing_node *node)
+{
+	int64_t now_ms = node_now(node);
+
+	if (!node->routing || node->leaving)
+		return false;
+	for (guint i = 0; i < node->cells->len; i++)
+		if (node_cell_reachable(node->cells->pdata[i], now_ms))
+			return true;
+	return false;
+}
+
+void waxwing_node_leave(struct waxwing_node *node)
+{
+	node->leaving = true;
+	for (guint i = 0; i < node->cells->len; i++)
+		waxwing_claim_release(((struct node_cell *)node->cells->pdata[i])->claim);
+}
+
+bool waxwing_node_idle(const struct waxwing_node *node)
+{
+	if (g_hash_table_size(node->pendings))
+		return false;
+	for (guint i = 0; i < node->cells->len; i++)
+		if (waxwing_claim_releasing(((struct node_cell *)node->cells->pdata[i])->claim))
+			return false;
+	return true;
+}
+
+char *waxwing_node_metrics(struct waxwing_node *node)
+{
+	GString *text = g_string_new(NULL);
+	int64_t now_ms = node_now(node);
+
+	g_string_append_printf(text,
+			       "waxwing_node_submitted_total %llu\n"
+			       "waxwing_node_completed_total %llu\n"
+			       "waxwing_node_not_completed_total %llu\n"
+			       "waxwing_node_pending %u\n"
+			       "waxwing_node_takeovers_total %llu\n"
+			       "waxwing_node_messages_dropped_total %llu\n"
+			       "waxwing_node_log_lines_dropped_total %llu\n"
+			       "waxwing_node_routing_version %llu\n"
+			       "waxwing_node_store_lost_ms %lld\n",
+			       (unsigned long long)node->submitted,
+			       (unsigned long long)node->completed,
+			       (unsigned long long)node->not_completed,
+			       g_hash_table_size(node->pendings),
+			       (unsigned long long)node->takeovers,
+			       (unsigned long long)waxwing_link_dropped(node->link),
+			       (unsigned long long)waxwing_event_log_dropped(),
+			       (unsigned long long)(node->routing ? node->routing->version : 0),
+			       (long long)(node->store_lost_ms ? now_ms - node->store_lost_ms : 0));
+	for (guint i = 0; i < node->cells->len; i++) {
+		struct node_cell *at = node->cells->pdata[i];
+		struct waxwing_cell_view view;
+
+		if (!at->cell)
+			continue;
+		waxwing_cell_view(at->cell, now_ms, &view);
+		g_string_append_printf(
+			text,
+			"waxwing_cell_executors{cell=\"%s\"} %u\n"
+			"waxwing_cell_usable{cell=\"%s\"} %u\n"
+			"waxwing_cell_jobs{cell=\"%s\"} %u\n"
+			"waxwing_cell_waiting_tasks{cell=\"%s\"} %u\n"
+			"waxwing_cell_runs{cell=\"%s\"} %u\n"
+			"waxwing_cell_starts_total{cell=\"%s\"} %llu\n"
+			"waxwing_cell_done_total{cell=\"%s\"} %llu\n"
+			"waxwing_cell_failed_total{cell=\"%s\"} %llu\n"
+			"waxwing_cell_lapsed_total{cell=\"%s\"} %llu\n"
+			"waxwing_cell_refused_total{cell=\"%s\"} %llu\n",
+			at->name, view.executors, at->name, view.usable, at->name, view.jobs,
+			at->name, view.waiting_tasks, at->name, view.runs, at->name,
+			(unsigned long long)view.starts, at->name, (unsigned long long)view.done,
+			at->name, (unsigned long long)view.failed, at->name,
+			(unsigned long long)view.lapsed, at->name,
+			(unsigned long long)view.refused);
+	}
+	return g_string_free(text, FALSE);
+}
--- /dev/null
+++ b/src/node/node.h
@@ -0,0 +1,90 @@
+/**
+ * One entry node: takes callers' jobs, finds the cell that is to run each, and runs the cells that it
+ * owns. Nodes meet in the platform's store; nothing is agreed on the path of a request.
+ *
+ * One thread: the loop's. Times are milliseconds.
+ */
+#ifndef WAXWING_NODE_H
+#define WAXWING_NODE_H
+
+#include "cell.h"
+#include "executors.h"
+#include "routing.h"
+#include "store.h"
+#include "waxwingswitch/error.h"
+
+#include <uv.h>
+
+struct waxwing_node;
+
+struct waxwing_node_options {
+	uv_loop_t *loop;
+	struct waxwing_store *store;
+	struct waxwing_executors *executors;
+	const char *name;
+	const char *zone; /**< failure domain of this node */
+	const char *const *zones; /**< all failure domains, null-terminated; each has a cell */
+	const char *address; /**< IP:port for messages of other nodes */
+	uint32_t lease_most_ms; /**< longest lease that executors give */
+	uint32_t stop_ms; /**< longest time that a stop takes */
+	uint32_t ttl_least_ms; /**< shortest lease that the store gives */
+	double far_factor; /**< how much longer a task takes away from its data */
+	/** Reads an executor's entry; false (with a reason logged) when it names none to use. */
+	bool (*read_executor)(const struct waxwing_store_item *item,
+			      void (*use)(void *data, const struct waxwing_executor_entry *entry),
+			      void *data);
+	/** Reads a configuration; null when it cannot be read. The caller owns it. */
+	struct waxwing_routing *(*read_routing)(const struct waxwing_store_item *item);
+	const char *routing_key; /**< the store's key of the configuration */
+	const char *executor_prefix; /**< of the executors' keys; the rest is their id */
+};
+
+/** What a caller is told in the end. */
+struct waxwing_node_answer {
+	enum waxwing_job_outcome outcome;
+	enum waxwing_error_code reason; /**< of what was not completed */
+	bool may_have_run; /**< nothing certain is known: the caller may send it again */
+	uint32_t retry_after_ms; /**< 0: nothing to say */
+};
+
+/** A caller that waits for a job's end. Owned by the caller until it is answered or withdrawn. */
+struct waxwing_ticket {
+	void (*answer)(struct waxwing_ticket *ticket, const struct waxwing_node_answer *answer);
+	uint64_t job; /**< set by waxwing_node_submit() */
+	struct waxwing_ticket *next;
+};
+
+/** Creates a node and starts to follow the store; null and @error on failure. */
+struct waxwing_node *waxwing_node_create(const struct waxwing_node_options *options,
+					 struct waxwing_error *error);
+void waxwing_node_destroy(struct waxwing_node *node);
+
+/** The configuration in force; null: none yet. Valid until the loop's next turn. */
+const struct waxwing_routing *waxwing_node_routing(const struct waxwing_node *node);
+
+/**
+ * Takes a job; @ticket is answered later, once, never from within the call. Owns @job from now on. The
+ * same id submitted again waits for the same job.
+ */
+void waxwing_node_submit(struct waxwing_node *node, Waxwing__Job *job,
+			 struct waxwing_ticket *ticket);
+
+/** The caller has gone; @ticket is not answered any more. */
+void waxwing_node_withdraw(struct waxwing_node *node, struct waxwing_ticket *ticket);
+
+/** Jobs of a queue that were taken and of which no task has started, as of lately. */
+uint32_t waxwing_node_waiting(const struct waxwing_node *node, const char *queue);
+
+/** True when callers' requests can be served here. */
+bool waxwing_node_ready(const struct waxwing_node *node);
+
+/** Gives up owned cells and takes none again. What callers wait for goes on. */
+void waxwing_node_leave(struct waxwing_node *node);
+
+/** True when nobody waits for an answer and no cell is owned or being given up. */
+bool waxwing_node_idle(const struct waxwing_node *node);
+
+/** Counters and gauges in the Prometheus text format; freed with g_free(). */
+char *waxwing_node_metrics(struct waxwing_node *node);
+
+#endif
--- /dev/null
+++ b/src/node/node_jobs.c
@@ -0,0 +1,387 @@
+#include "node_private.h"
+
+#define LOG_PART "jobs"
+#include "event_log.h"
+#include "log.h"
+
+/* An offer whose receipt is not confirmed is sent again after this. */
+#define OFFER_AGAIN_MS 120
+/* An accepted job's verdict may have been lost: the offer, sent again, has it repeated. */
+#define VERDICT_AGAIN_MS 1000
+/*
+ * A silent owner's job is safe to give to another cell: the owner has stopped it for its issuer's
+ * silence, or its leases have run out.
+ */
+#define MOVE_MS 1150
+/* A job for which no cell can be reached is refused after this. */
+#define NO_CELL_MS	    300
+#define NO_CELL_RETRY_MS    1000
+/* Another failure domain's cell costs this much more, for the way there and back. */
+#define FAR_CELL_MS 4.0
+/* A refused job is offered to another cell only if that expects so much less wait. */
+#define OTHER_CELL_GAIN_MS 40
+/* Share of its run time that a job is expected to be held up by room that is lacking. */
+#define LACK_COST 0.5
+
+/* A verdict, kept until the cells have done their work. */
+struct verdict_copy {
+	struct node_cell *at;
+	Waxwing__JobVerdict verdict;
+};
+
+void node_pending_free(gpointer value)
+{
+	struct pending *pending = value;
+
+	waxwing__job__free_unpacked(pending->job, NULL);
+	g_free(pending);
+}
+
+static Waxwing__Job *copy_job(const Waxwing__Job *job)
+{
+	size_t len = waxwing__job__get_packed_size(job);
+	uint8_t *packed = g_malloc(len);
+	Waxwing__Job *copy;
+
+	waxwing__job__pack(job, packed);
+	copy = waxwing__job__unpack(NULL, len, packed);
+	g_free(packed);
+	return copy;
+}
+
+static uint32_t first_needs_milli(const Waxwing__Job *job)
+{
+	uint32_t needs = 0;
+
+	for (size_t i = 0; i < job->n_steps; i++)
+		if (!job->steps[i]->n_after)
+			needs += job->steps[i]->count * job->steps[i]->cpu_milli;
+	return needs;
+}
+
+static double cell_cost(const struct node_cell *at, const Waxwing__Job *job)
+{
+	double needs = first_needs_milli(job);
+	double cost = at->wait_ms;
+
+	if (strcmp(at->name, at->node->options.zone) != 0)
+		cost += FAR_CELL_MS;
+	if (needs > at->free_milli)
+		cost += (needs - at->free_milli) / needs * LACK_COST * job->steps[0]->estimated_ms;
+	return cost;
+}
+
+static struct node_cell *choose_cell(struct waxwing_node *node, const Waxwing__Job *job,
+				     const struct node_cell *but, int64_t now_ms)
+{
+	struct node_cell *best = NULL;
+	double best_cost = 0;
+
+	for (guint i = 0; i < node->cells->len; i++) {
+		struct node_cell *at = node->cells->pdata[i];
+		double cost;
+
+		if (at == but || !node_cell_reachable(at, now_ms))
+			continue;
+		cost = cell_cost(at, job);
+		if (!best || cost < best_cost) {
+			best = at;
+			best_cost = cost;
+		}
+	}
+	return best;
+}
+
+/* Until the owner tells anew, the room that the job takes is counted as taken. */
+static void note_taken(struct node_cell *at, const Waxwing__Job *job)
+{
+	uint32_t needs = first_needs_milli(job);
+
+	at->free_milli = at->free_milli > needs ? at->free_milli - needs : 0;
+}
+
+static void offer(struct pending *pending, int64_t now_ms)
+{
+	struct node_cell *at = pending->cell;
+	Waxwing__JobOffer fields = WAXWING__JOB_OFFER__INIT;
+	Waxwing__NodeMessage message = WAXWING__NODE_MESSAGE__INIT;
+	Waxwing__JobOffer *own;
+
+	pending->token = waxwing_claim_owner(at->claim)->fencing_token;
+	pending->offered_ms = now_ms;
+	fields.age_ms = (uint32_t)(now_ms - pending->arrived_ms);
+	fields.has_running_before = pending->offered_before;
+	fields.running_before = pending->offered_before;
+	if (!at->cell) {
+		fields.job = pending->job;
+		message.offer = &fields;
+		node_send(at, &message);
+		return;
+	}
+	own = calloc(1, sizeof(*own));
+	if (!own)
+		g_error("no memory for an offer");
+	*own = fields;
+	own->job = copy_job(pending->job);
+	pending->accepted = true;
+	node_owner_offer(at, WAXWING_ISSUER_SELF, own);
+}
+
+static void withdraw(struct pending *pending)
+{
+	struct node_cell *at = pending->cell;
+	Waxwing__NodeMessage message = WAXWING__NODE_MESSAGE__INIT;
+
+	if (!at)
+		return;
+	if (at->cell) {
+		waxwing_cell_withdraw(at->cell, node_now(at->node), pending->id);
+		at->node->touched = true;
+		return;
+	}
+	if (!waxwing_claim_owner(at->claim)->known)
+		return;
+	message.has_withdraw = true;
+	message.withdraw = pending->id;
+	node_send(at, &message);
+}
+
+static void answer(struct waxwing_node *node, struct pending *pending,
+		   const struct waxwing_node_answer *told)
+{
+	struct waxwing_ticket *ticket = pending->tickets;
+
+	waxwing_event("job_answered", "job=%016llx cell=%s outcome=%d reason=%s may_have_run=%d "
+				      "age_ms=%lld routing=%llu",
+		      (unsigned long long)pending->id, pending->cell ? pending->cell->name : "none",
+		      told->outcome, waxwing_error_name(told->reason), told->may_have_run,
+		      (long long)(node_now(node) - pending->arrived_ms),
+		      (unsigned long long)pending->job->routing_version);
+	if (told->outcome == WAXWING_JOB_COMPLETED)
+		node->completed++;
+	else
+		node->not_completed++;
+	g_hash_table_steal(node->pendings, &pending->id);
+	while (ticket) {
+		struct waxwing_ticket *next = ticket->next;
+
+		ticket->answer(ticket, told);
+		ticket = next;
+	}
+	node_pending_free(pending);
+}
+
+static void offer_somewhere(struct waxwing_node *node, struct pending *pending, int64_t now_ms)
+{
+	pending->cell = choose_cell(node, pending->job, NULL, now_ms);
+	if (!pending->cell)
+		return;
+	pending->accepted = false;
+	note_taken(pending->cell, pending->job);
+	offer(pending, now_ms);
+}
+
+void waxwing_node_submit(struct waxwing_node *node, Waxwing__Job *job,
+			 struct waxwing_ticket *ticket)
+{
+	struct pending *pending = g_hash_table_lookup(node->pendings, &job->id);
+	int64_t now_ms = node_now(node);
+
+	ticket->job = job->id;
+	node->submitted++;
+	if (pending) {
+		ticket->next = pending->tickets;
+		pending->tickets = ticket;
+		waxwing__job__free_unpacked(job, NULL);
+		return;
+	}
+	pending = g_new0(struct pending, 1);
+	pending->id = job->id;
+	pending->job = job;
+	pending->arrived_ms = now_ms;
+	pending->tickets = ticket;
+	ticket->next = NULL;
+	g_hash_table_insert(node->pendings, &pending->id, pending);
+	offer_somewhere(node, pending, now_ms);
+}
+
+void waxwing_node_withdraw(struct waxwing_node *node, struct waxwing_ticket *ticket)
+{
+	struct pending *pending = g_hash_table_lookup(node->pendings, &ticket->job);
+	struct waxwing_ticket **at = pending ? &pending->tickets : NULL;
+
+	while (at && *at && *at != ticket)
+		at = &(*at)->next;
+	if (!at || !*at)
+		return;
+	*at = ticket->next;
+	if (pending->tickets)
+		return;
+	waxwing_event("caller_gone", "job=%016llx age_ms=%lld", (unsigned long long)pending->id,
+		      (long long)(node_now(node) - pending->arrived_ms));
+	withdraw(pending);
+	g_hash_table_remove(node->pendings, &pending->id);
+}
+
+void node_jobs_accepted(struct node_cell *at, uint64_t job)
+{
+	struct pending *pending = g_hash_table_lookup(at->node->pendings, &job);
+
+	if (pending && pending->cell == at)
+		pending->accepted = true;
+}
+
+void node_jobs_verdict(struct node_cell *at, const Waxwing__JobVerdict *verdict)
+{
+	struct verdict_copy *copy = g_new0(struct verdict_copy, 1);
+
+	copy->at = at;
+	copy->verdict = *verdict;
+	g_ptr_array_add(at->node->verdicts, copy);
+}
+
+/* A refusal for load is true of one cell only. */
+static bool try_other_cell(struct waxwing_node *node, struct pending *pending, int64_t now_ms)
+{
+	struct node_cell *other;
+
+	if (pending->refused_once)
+		return false;
+	other = choose_cell(node, pending->job, pending->cell, now_ms);
+	if (!other || cell_cost(other, pending->job) + OTHER_CELL_GAIN_MS >
+			      cell_cost(pending->cell, pending->job))
+		return false;
+	pending->refused_once = true;
+	pending->cell = other;
+	pending->accepted = false;
+	pending->offered_before = false;
+	note_taken(other, pending->job);
+	offer(pending, now_ms);
+	return true;
+}
+
+static void take_verdict(struct waxwing_node *node, const struct verdict_copy *copy)
+{
+	const Waxwing__JobVerdict *verdict = &copy->verdict;
+	struct pending *pending = g_hash_table_lookup(node->pendings, &verdict->job);
+	struct waxwing_node_answer told = {
+		.outcome = (enum waxwing_job_outcome)verdict->outcome,
+		.reason = (enum waxwing_error_code)verdict->reason,
+		.retry_after_ms = verdict->retry_after_ms,
+	};
+
+	if (!pending || pending->cell != copy->at)
+		return;
+	if (told.outcome == WAXWING_JOB_REFUSED) {
+		told.may_have_run = pending->offered_before;
+		if (!told.may_have_run && try_other_cell(node, pending, node_now(node)))
+			return;
+	}
+	if (told.outcome == WAXWING_JOB_GIVEN_UP)
+		told.may_have_run = true;
+	answer(node, pending, &told);
+}
+
+void node_jobs_tell(struct waxwing_node *node)
+{
+	GPtrArray *verdicts = node->verdicts;
+
+	if (!verdicts->len)
+		return;
+	node->verdicts = g_ptr_array_new_with_free_func(g_free);
+	for (guint i = 0; i < verdicts->len; i++)
+		take_verdict(node, verdicts->pdata[i]);
+	g_ptr_array_free(verdicts, TRUE);
+}
+
+static void refuse(struct waxwing_node *node, struct pending *pending, bool may_have_run,
+		   enum waxwing_error_code reason)
+{
+	struct waxwing_node_answer told = {
+		.outcome = may_have_run ? WAXWING_JOB_GIVEN_UP : WAXWING_JOB_REFUSED,
+		.reason = reason,
+		.may_have_run = may_have_run,
+		.retry_after_ms = NO_CELL_RETRY_MS,
+	};
+
+	answer(node, pending, &told);
+}
+
+/* The owner is silent, and no other has come: the job goes where it can run. */
+static void move(struct waxwing_node *node, struct pending *pending, int64_t now_ms)
+{
+	struct node_cell *to = choose_cell(node, pending->job, pending->cell, now_ms);
+
+	if (!to)
+		return;
+	waxwing_event("job_moved", "job=%016llx from=%s to=%s age_ms=%lld",
+		      (unsigned long long)pending->id, pending->cell->name, to->name,
+		      (long long)(now_ms - pending->arrived_ms));
+	pending->cell = to;
+	pending->accepted = false;
+	pending->offered_before = false;
+	offer(pending, now_ms);
+}
+
+static void follow(struct waxwing_node *node, struct pending *pending, int64_t now_ms)
+{
+	struct node_cell *at = pending->cell;
+	const struct waxwing_cell_owner_view *owner = waxwing_claim_owner(at->claim);
+	int64_t last_ms = MAX(at->heard_ms, pending->offered_ms);
+	bool reachable = node_cell_reachable(at, now_ms);
+
+	if (reachable && owner->known && owner->fencing_token != pending->token) {
+		pending->offered_before = true;
+		pending->accepted = false;
+		offer(pending, now_ms);
+	} else if (reachable && !at->cell && !pending->accepted &&
+		   now_ms - pending->offered_ms >= OFFER_AGAIN_MS) {
+		offer(pending, now_ms);
+	} else if (reachable && !at->cell && now_ms - pending->offered_ms >= VERDICT_AGAIN_MS) {
+		offer(pending, now_ms);
+	} else if (!reachable && now_ms - last_ms >= MOVE_MS) {
+		move(node, pending, now_ms);
+	}
+}
+
+static void run_pending(struct waxwing_node *node, struct pending *pending, int64_t now_ms)
+{
+	int64_t age_ms = now_ms - pending->arrived_ms;
+
+	if (age_ms >= pending->job->patience_ms) {
+		withdraw(pending);
+		refuse(node, pending, pending->cell != NULL, WAXWING_ERROR_DEADLINE);
+		return;
+	}
+	if (pending->cell) {
+		follow(node, pending, now_ms);
+		return;
+	}
+	offer_somewhere(node, pending, now_ms);
+	if (!pending->cell && age_ms >= NO_CELL_MS)
+		refuse(node, pending, false, WAXWING_ERROR_NOT_READY);
+}
+
+void node_jobs_run(struct waxwing_node *node, int64_t now_ms)
+{
+	GList *pendings = g_hash_table_get_values(node->pendings);
+
+	for (GList *at = pendings; at; at = at->next)
+		run_pending(node, at->data, now_ms);
+	g_list_free(pendings);
+}
+
+uint32_t waxwing_node_waiting(const struct waxwing_node *node, const char *queue)
+{
+	uint32_t jobs = 0;
+
+	for (guint i = 0; i < node->cells->len; i++) {
+		const struct node_cell *at = node->cells->pdata[i];
+
+		if (!at->cell)
+			jobs += GPOINTER_TO_UINT(g_hash_table_lookup(at->waiting, queue));
+		else
+			jobs += waxwing_cell_waiting_of(at->cell, queue);
+	}
+	return jobs;
+}
--- /dev/null
+++ b/src/node/node_owner.c
@@ -0,0 +1,420 @@
+#include "node_private.h"
+
+#define LOG_PART "owner"
+#include "event_log.h"
+#include "log.h"
+
+/* Time that an executor's answer may take beside what it was asked to wait. */
+#define START_TIMEOUT_MS 350
+#define STOP_TIMEOUT_MS	 350
+#define HOLD_TIMEOUT_MS	 350
+/* An offer that was longer on its way is not taken: its sender may have given it up by now. */
+#define OFFER_AGE_MOST_MS 400
+/* Times on two machines' clocks may run apart by so much between two pings. */
+#define CLOCK_SLACK_MS 20
+
+/* An order that is out, and the ownership that gave it. */
+struct order {
+	struct waxwing_node *node;
+	guint cell;
+	uint64_t ownership;
+	uint64_t life;
+	struct waxwing_run_name name;
+};
+
+/* What the list says of an executor, kept to tell new cells. */
+struct entry_copy {
+	struct waxwing_store_item item;
+};
+
+static struct order *create_order(struct node_cell *at, uint64_t life,
+				  const struct waxwing_run_name *name)
+{
+	struct order *order = g_new0(struct order, 1);
+
+	order->node = at->node;
+	g_ptr_array_find(at->node->cells, at, &order->cell);
+	order->ownership = at->ownership;
+	order->life = life;
+	if (name)
+		order->name = *name;
+	return order;
+}
+
+/* The owned cell that gave an order; null when it is owned no more. Frees nothing. */
+static struct waxwing_cell *order_cell(const struct order *order)
+{
+	struct node_cell *at = order->node->cells->pdata[order->cell];
+
+	order->node->touched = true;
+	return at->cell && at->ownership == order->ownership ? at->cell : NULL;
+}
+
+static void start_done(void *data, enum waxwing_start_answer answer, int64_t clock_ms)
+{
+	struct order *order = data;
+	struct waxwing_cell *cell = order_cell(order);
+
+	if (cell)
+		waxwing_cell_start_answered(cell, node_now(order->node), order->life, &order->name,
+					    answer, clock_ms);
+	g_free(order);
+}
+
+static void stop_done(void *data, bool answered)
+{
+	struct order *order = data;
+	struct waxwing_cell *cell = order_cell(order);
+
+	if (cell)
+		waxwing_cell_stop_answered(cell, node_now(order->node), order->life, &order->name,
+					   answered);
+	g_free(order);
+}
+
+static void hold_done(void *data, const struct waxwing_hold_answer *answer)
+{
+	struct order *order = data;
+	struct waxwing_cell *cell = order_cell(order);
+
+	if (cell)
+		waxwing_cell_hold_answered(cell, node_now(order->node), order->life, answer);
+	g_free(order);
+}
+
+static void order_start(void *data, const struct waxwing_order_target *target,
+			const struct waxwing_run_name *name, const char *spec, int64_t until_ms)
+{
+	struct node_cell *at = data;
+	struct waxwing_executors *executors = at->node->options.executors;
+	struct waxwing_executor_start start = {
+		.target = target,
+		.name = name,
+		.spec = spec,
+		.until_ms = until_ms,
+		.timeout_ms = START_TIMEOUT_MS,
+		.done = start_done,
+		.data = create_order(at, target->life, name),
+	};
+
+	executors->ops->start(executors, &start);
+}
+
+static void order_stop(void *data, const struct waxwing_order_target *target,
+		       const struct waxwing_run_name *name)
+{
+	struct node_cell *at = data;
+	struct waxwing_executors *executors = at->node->options.executors;
+	struct waxwing_executor_stop stop = {
+		.target = target,
+		.name = name,
+		.timeout_ms = STOP_TIMEOUT_MS,
+		.done = stop_done,
+		.data = create_order(at, target->life, name),
+	};
+
+	executors->ops->stop(executors, &stop);
+}
+
+static void order_hold(void *data, const struct waxwing_order_target *target, int64_t until_ms,
+		       uint64_t acked_upto, uint32_t wait_ms)
+{
+	struct node_cell *at = data;
+	struct waxwing_executors *executors = at->node->options.executors;
+	struct waxwing_executor_hold hold = {
+		.target = target,
+		.until_ms = until_ms,
+		.acked_upto = acked_upto,
+		.wait_ms = wait_ms,
+		.timeout_ms = HOLD_TIMEOUT_MS,
+		.done = hold_done,
+		.data = create_order(at, target->life, NULL),
+	};
+
+	executors->ops->hold(executors, &hold);
+}
+
+static void give_verdict(void *data, uint64_t issuer, const Waxwing__JobVerdict *verdict)
+{
+	struct node_cell *at = data;
+	Waxwing__NodeMessage message = WAXWING__NODE_MESSAGE__INIT;
+
+	if (issuer == WAXWING_ISSUER_SELF) {
+		node_jobs_verdict(at, verdict);
+		return;
+	}
+	message.cell = at->name;
+	message.fencing_token = waxwing_claim_owner(at->claim)->fencing_token;
+	message.verdict = (Waxwing__JobVerdict *)verdict;
+	waxwing_link_answer(at->node->link, issuer, &message);
+}
+
+/* Only noted here: the cell is in the midst of its work. */
+static void note_fenced(void *data, const char *executor)
+{
+	struct node_cell *at = data;
+	const struct waxwing_cell_owner_view *owner = waxwing_claim_owner(at->claim);
+
+	if (at->fenced_token == owner->fencing_token)
+		return;
+	at->fenced_token = owner->fencing_token;
+	waxwing_event("cell_fenced", "cell=%s token=%llu executor=%s", at->name,
+		      (unsigned long long)owner->fencing_token, executor);
+}
+
+static const struct waxwing_cell_ops cell_ops = {
+	.start = order_start,
+	.stop = order_stop,
+	.hold = order_hold,
+	.verdict = give_verdict,
+	.fenced = note_fenced,
+};
+
+static const char *id_of(const struct waxwing_node *node, const char *key)
+{
+	size_t len = strlen(node->options.executor_prefix);
+
+	return strncmp(key, node->options.executor_prefix, len) == 0 ? key + len : key;
+}
+
+static void use_entry(void *data, const struct waxwing_executor_entry *entry)
+{
+	struct waxwing_node *node = data;
+
+	for (guint i = 0; i < node->cells->len; i++) {
+		struct node_cell *at = node->cells->pdata[i];
+
+		if (at->cell && strcmp(at->name, entry->zone) == 0)
+			waxwing_cell_set_executor(at->cell, node_now(node), entry);
+	}
+	node->touched = true;
+}
+
+static void lose_entry(struct waxwing_node *node, const char *key)
+{
+	for (guint i = 0; i < node->cells->len; i++) {
+		struct node_cell *at = node->cells->pdata[i];
+
+		if (at->cell)
+			waxwing_cell_lose_executor(at->cell, node_now(node), id_of(node, key));
+	}
+}
+
+static void copy_free(gpointer value)
+{
+	struct entry_copy *copy = value;
+
+	g_free((char *)copy->item.key.data);
+	g_free((char *)copy->item.value.data);
+	g_free(copy);
+}
+
+void node_executors_changed(struct waxwing_node *node, const struct waxwing_store_item *item)
+{
+	struct entry_copy *copy;
+	char *key = waxwing_str_dup(item->key);
+
+	if (!node->entries)
+		node->entries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, copy_free);
+	if (item->deleted) {
+		lose_entry(node, key);
+		g_hash_table_remove(node->entries, key);
+		g_free(key);
+		return;
+	}
+	copy = g_new0(struct entry_copy, 1);
+	copy->item = *item;
+	copy->item.key.data = waxwing_str_dup(item->key);
+	copy->item.value.data = waxwing_str_dup(item->value);
+	g_hash_table_replace(node->entries, key, copy);
+	node->options.read_executor(&copy->item, use_entry, node);
+}
+
+static void tell_entries(struct waxwing_node *node)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!node->entries)
+		return;
+	g_hash_table_iter_init(&iter, node->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct entry_copy *copy = value;
+
+		node->options.read_executor(&copy->item, use_entry, node);
+	}
+}
+
+void node_owner_begin(struct node_cell *at, uint64_t token)
+{
+	struct waxwing_node *node = at->node;
+	struct waxwing_cell_options options = {
+		.ops = &cell_ops,
+		.data = at,
+		.name = at->name,
+		.fencing_token = token,
+		.lease_most_ms = node->options.lease_most_ms,
+		.stop_ms = node->options.stop_ms,
+		.far_factor = node->options.far_factor,
+		.took_over = true,
+	};
+
+	if (at->cell) {
+		waxwing_cell_set_token(at->cell, token);
+		return;
+	}
+	at->ownership = node->next_ownership++;
+	at->cell = waxwing_cell_create(node_now(node), &options);
+	at->issuers = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	node->takeovers++;
+	tell_entries(node);
+	waxwing_event("cell_taken", "cell=%s token=%llu", at->name, (unsigned long long)token);
+}
+
+void node_owner_end(struct node_cell *at)
+{
+	Waxwing__NodeMessage message = WAXWING__NODE_MESSAGE__INIT;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!at->cell)
+		return;
+	message.cell = at->name;
+	message.fencing_token = waxwing_claim_owner(at->claim)->fencing_token;
+	message.has_released = true;
+	message.released = true;
+	g_hash_table_iter_init(&iter, at->issuers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		waxwing_link_answer(at->node->link, ((struct issuer *)value)->sender, &message);
+	g_hash_table_destroy(at->issuers);
+	at->issuers = NULL;
+	waxwing_cell_destroy(at->cell);
+	at->cell = NULL;
+	waxwing_event("cell_given_up", "cell=%s token=%llu", at->name,
+		      (unsigned long long)message.fencing_token);
+}
+
+static struct issuer *find_issuer(struct node_cell *at, uint64_t sender, int64_t now_ms)
+{
+	struct issuer *issuer = g_hash_table_lookup(at->issuers, &sender);
+
+	if (!issuer) {
+		issuer = g_new0(struct issuer, 1);
+		issuer->sender = sender;
+		g_hash_table_insert(at->issuers, &issuer->sender, issuer);
+	}
+	issuer->heard_ms = now_ms;
+	issuer->gone = false;
+	return issuer;
+}
+
+void node_owner_run(struct node_cell *at, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!at->cell)
+		return;
+	g_hash_table_iter_init(&iter, at->issuers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct issuer *issuer = value;
+
+		if (issuer->gone || now_ms - issuer->heard_ms < SILENT_MS)
+			continue;
+		issuer->gone = true;
+		waxwing_event("issuer_silent", "cell=%s sender=%016llx", at->name,
+			      (unsigned long long)issuer->sender);
+		waxwing_cell_forget_issuer(at->cell, now_ms, issuer->sender);
+	}
+	waxwing_cell_run(at->cell, now_ms);
+	if (at->fenced_token && at->fenced_token == waxwing_claim_owner(at->claim)->fencing_token)
+		waxwing_claim_fenced(at->claim);
+}
+
+void node_owner_offer(struct node_cell *at, uint64_t sender, Waxwing__JobOffer *offer)
+{
+	waxwing_cell_offer(at->cell, node_now(at->node), sender, offer);
+	at->node->touched = true;
+}
+
+/* What pong tells of a queue. */
+struct waiting_list {
+	GPtrArray *rows; /* Waxwing__QueueWaiting */
+};
+
+static void add_waiting(void *data, const char *queue, uint32_t jobs)
+{
+	struct waiting_list *list = data;
+	Waxwing__QueueWaiting *row = g_new0(Waxwing__QueueWaiting, 1);
+
+	waxwing__queue_waiting__init(row);
+	row->queue = (char *)queue;
+	row->jobs = jobs;
+	g_ptr_array_add(list->rows, row);
+}
+
+static void answer_ping(struct node_cell *at, uint64_t sender, const Waxwing__CellPing *ping)
+{
+	Waxwing__NodeMessage message = WAXWING__NODE_MESSAGE__INIT;
+	Waxwing__CellPong pong = WAXWING__CELL_PONG__INIT;
+	struct waiting_list list = { g_ptr_array_new_with_free_func(g_free) };
+	struct waxwing_cell_view view;
+	int64_t now_ms = node_now(at->node);
+
+	waxwing_cell_view(at->cell, now_ms, &view);
+	waxwing_cell_waiting(at->cell, add_waiting, &list);
+	pong.ping_ms = ping->sent_ms;
+	pong.owner_ms = (uint64_t)now_ms;
+	pong.free_milli = view.free_milli;
+	pong.wait_ms = view.wait_ms;
+	pong.n_waiting = list.rows->len;
+	pong.waiting = (Waxwing__QueueWaiting **)list.rows->pdata;
+	message.cell = at->name;
+	message.fencing_token = waxwing_claim_owner(at->claim)->fencing_token;
+	message.pong = &pong;
+	waxwing_link_answer(at->node->link, sender, &message);
+	g_ptr_array_free(list.rows, TRUE);
+}
+
+static void take_offer(struct node_cell *at, uint64_t sender, Waxwing__NodeMessage *message)
+{
+	Waxwing__NodeMessage answer = WAXWING__NODE_MESSAGE__INIT;
+	int64_t age_ms = node_now(at->node) - (int64_t)message->heard_ms;
+	Waxwing__JobOffer *offer = message->offer;
+
+	if (!message->has_heard_ms || age_ms > OFFER_AGE_MOST_MS + CLOCK_SLACK_MS) {
+		waxwing_event("offer_too_old", "cell=%s job=%016llx age_ms=%lld", at->name,
+			      (unsigned long long)offer->job->id, (long long)age_ms);
+		return;
+	}
+	answer.cell = at->name;
+	answer.fencing_token = message->fencing_token;
+	answer.has_accepted = true;
+	answer.accepted = offer->job->id;
+	waxwing_link_answer(at->node->link, sender, &answer);
+	message->offer = NULL;
+	node_owner_offer(at, sender, offer);
+}
+
+void node_owner_message(struct node_cell *at, uint64_t sender, Waxwing__NodeMessage *message)
+{
+	Waxwing__NodeMessage answer = WAXWING__NODE_MESSAGE__INIT;
+	uint64_t token = waxwing_claim_owner(at->claim)->fencing_token;
+
+	if (!at->cell || message->fencing_token != token) {
+		answer.cell = at->name;
+		answer.fencing_token = message->fencing_token;
+		answer.has_released = true;
+		answer.released = true;
+		waxwing_link_answer(at->node->link, sender, &answer);
+		return;
+	}
+	find_issuer(at, sender, node_now(at->node));
+	if (message->ping)
+		answer_ping(at, sender, message->ping);
+	if (message->has_withdraw)
+		waxwing_cell_withdraw(at->cell, node_now(at->node), message->withdraw);
+	if (message->offer)
+		take_offer(at, sender, message);
+	at->node->touched = true;
+}
--- /dev/null
+++ b/src/node/node_private.h
@@ -0,0 +1,116 @@
+#ifndef WAXWING_NODE_PRIVATE_H
+#define WAXWING_NODE_PRIVATE_H
+
+#include "claim.h"
+#include "clock.h"
+#include "link.h"
+#include "node.h"
+#include "store_watch.h"
+
+#include <glib.h>
+
+/* The node's own clockwork. */
+#define TICK_MS 10
+/* Pings to the owner of each cell; nodes in many share the owners' time. */
+#define PING_MS 100
+/* An owner or a node that was not heard for so long is taken as cut off or gone. */
+#define SILENT_MS 650
+
+/* A cell, as this node sees it. */
+struct node_cell {
+	struct waxwing_node *node;
+	char *name; /* the failure domain's */
+	struct waxwing_claim *claim;
+	/* as its owner tells */
+	int64_t heard_ms; /* 0: not since the owner changed */
+	int64_t owner_clock_ms; /* owner's clock at heard_ms */
+	int64_t ping_next_ms;
+	uint32_t free_milli;
+	uint32_t wait_ms;
+	GHashTable *waiting; /* queue -> jobs */
+	/* as its owner */
+	struct waxwing_cell *cell; /* null: not the owner */
+	uint64_t ownership; /* tells answers to orders of an earlier one */
+	GHashTable *issuers; /* sender -> struct issuer */
+	uint64_t fenced_token; /* of the ownership that an executor has ended */
+};
+
+/* A node that offers jobs to an owned cell. */
+struct issuer {
+	uint64_t sender;
+	int64_t heard_ms;
+	bool gone; /* its jobs were stopped */
+};
+
+/* A caller's job. */
+struct pending {
+	uint64_t id;
+	Waxwing__Job *job;
+	struct waxwing_ticket *tickets;
+	struct node_cell *cell; /* null: waits for one */
+	uint64_t token; /* of the ownership that it was offered to */
+	int64_t arrived_ms;
+	int64_t offered_ms;
+	bool accepted;
+	bool offered_before; /* an earlier owner of the cell may have started it */
+	bool refused_once; /* one cell has refused it */
+};
+
+struct waxwing_node {
+	struct waxwing_node_options options;
+	const struct waxwing_clock *clock;
+	struct waxwing_link *link;
+	struct waxwing_store_watch *routing_watch;
+	struct waxwing_store_watch *owner_watch;
+	struct waxwing_store_watch *executor_watch;
+	struct waxwing_routing *routing;
+	GPtrArray *cells; /* struct node_cell */
+	GHashTable *pendings; /* id -> pending */
+	GHashTable *entries; /* executor key -> struct entry_copy */
+	uv_timer_t timer;
+	uv_check_t after_events;
+	uint64_t incarnation;
+	uint64_t next_ownership;
+	int64_t last_turn_ms;
+	int64_t store_reached_ms;
+	int64_t store_lost_ms; /* 0: it answers */
+	GPtrArray *verdicts; /* struct verdict_copy: to be told once the cells have done their work */
+	int64_t routing_ms; /* when it came into force */
+	bool leaving;
+	bool touched; /* a cell has had events since it last ran */
+	uint64_t submitted;
+	uint64_t completed;
+	uint64_t not_completed;
+	uint64_t takeovers;
+};
+
+/* node_cells.c */
+void node_cells_create(struct waxwing_node *node);
+void node_cells_destroy(struct waxwing_node *node);
+void node_cells_run(struct waxwing_node *node, int64_t now_ms);
+bool node_cell_reachable(const struct node_cell *at, int64_t now_ms);
+void node_send(struct node_cell *at, Waxwing__NodeMessage *message);
+void node_received(void *data, uint64_t sender, Waxwing__NodeMessage *message);
+struct node_cell *node_cell_find(struct waxwing_node *node, const char *name);
+
+/* node_owner.c */
+void node_owner_begin(struct node_cell *at, uint64_t token);
+void node_owner_end(struct node_cell *at);
+void node_owner_run(struct node_cell *at, int64_t now_ms);
+void node_owner_offer(struct node_cell *at, uint64_t sender, Waxwing__JobOffer *offer);
+void node_owner_message(struct node_cell *at, uint64_t sender, Waxwing__NodeMessage *message);
+void node_executors_changed(struct waxwing_node *node, const struct waxwing_store_item *item);
+
+/* node_jobs.c */
+void node_jobs_run(struct waxwing_node *node, int64_t now_ms);
+void node_jobs_verdict(struct node_cell *at, const Waxwing__JobVerdict *verdict);
+void node_jobs_tell(struct waxwing_node *node);
+void node_jobs_accepted(struct node_cell *at, uint64_t job);
+void node_pending_free(gpointer value);
+
+static inline int64_t node_now(const struct waxwing_node *node)
+{
+	return waxwing_clock_now(node->clock);
+}
+
+#endif
--- /dev/null
+++ b/src/node/store.h
@@ -0,0 +1,77 @@
+/**
+ * The platform's key-value store, asked without blocking.
+ *
+ * Each call ends with one callback from the loop, never from within the call. Back ends implement
+ * struct waxwing_store_ops. One thread.
+ */
+#ifndef WAXWING_STORE_H
+#define WAXWING_STORE_H
+
+#include "str.h"
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+struct waxwing_store;
+
+/** How a call ended. */
+enum waxwing_store_end {
+	WAXWING_STORE_OK,
+	WAXWING_STORE_CONFLICT, /**< a precondition does not hold; nothing was changed */
+	WAXWING_STORE_NOT_FOUND, /**< no such lease, or no such key */
+	WAXWING_STORE_HISTORY_LOST, /**< a watch's revision is too old: read the range again */
+	WAXWING_STORE_REFUSED, /**< over its rate, or unwell: nothing was done */
+	WAXWING_STORE_UNKNOWN, /**< no answer: it may have been done, or may be done later */
+};
+
+/** An entry; or, with @deleted, that there is none any more. */
+struct waxwing_store_item {
+	struct waxwing_str key;
+	struct waxwing_str value;
+	uint64_t revision;
+	bool deleted;
+};
+
+struct waxwing_store_answer {
+	enum waxwing_store_end end;
+	uint64_t revision; /**< of the store; of a transaction, its own */
+	uint64_t lease;
+	uint32_t ttl_ms; /**< of a lease, as it applies */
+	bool more; /**< a range has more pages, after the last item's key */
+	const struct waxwing_store_item *items; /**< valid during the callback */
+	size_t item_count;
+};
+
+/** Receives the one answer of a call. */
+struct waxwing_store_reply {
+	void (*done)(void *data, const struct waxwing_store_answer *answer);
+	void *data;
+};
+
+/** All or nothing: puts or removes one key if it stands at a revision. */
+struct waxwing_store_change {
+	const char *key;
+	uint64_t expected_revision; /**< 0: there must be no such key */
+	struct waxwing_str value;
+	uint64_t lease; /**< 0: none */
+	bool remove;
+};
+
+struct waxwing_store_ops {
+	void (*range)(struct waxwing_store *store, const char *prefix, const char *after_key,
+		      struct waxwing_store_reply reply);
+	void (*watch)(struct waxwing_store *store, const char *prefix, uint64_t after_revision,
+		      uint32_t wait_ms, struct waxwing_store_reply reply);
+	void (*change)(struct waxwing_store *store, const struct waxwing_store_change *change,
+		       struct waxwing_store_reply reply);
+	void (*lease)(struct waxwing_store *store, uint32_t ttl_ms,
+		      struct waxwing_store_reply reply);
+	void (*keep)(struct waxwing_store *store, uint64_t lease, struct waxwing_store_reply reply);
+};
+
+struct waxwing_store {
+	const struct waxwing_store_ops *ops;
+};
+
+#endif
