Wait until former orders are over before a job goes to another cell; tell owners between peers

A node that the store does not answer never heard of new owners at all.

A cell's orders now count as in effect for 1.35 s after its owner was last heard; a moved job's refusal says that it may have run; pongs tell of owners that the sender of the ping does not know; nodes of other failure domains claim a cell after 6.5 s only, since its own owner goes on while the whole domain is cut off.

--- a/src/node/claim.c
+++ b/src/node/claim.c
@@ -93,6 +93,7 @@
 	claim->owner.known = true;
 	claim->owner.self = owner->incarnation == claim->options.incarnation;
 	claim->owner.fencing_token = revision;
+	claim->owner.incarnation = owner->incarnation;
 	snprintf(claim->owner.address, sizeof(claim->owner.address), "%s", owner->address);
 	snprintf(claim->owner.node, sizeof(claim->owner.node), "%s", owner->node);
 	if (claim->owner.self)
@@ -134,6 +135,19 @@
 	waxwing__cell_owner__free_unpacked(owner, NULL);
 }
 
+void waxwing_claim_told(struct waxwing_claim *claim, const char *node, const char *address,
+			uint64_t incarnation, uint64_t revision)
+{
+	Waxwing__CellOwner owner = WAXWING__CELL_OWNER__INIT;
+
+	if (revision <= claim->seen_revision)
+		return;
+	owner.node = (char *)node;
+	owner.address = (char *)address;
+	owner.incarnation = incarnation;
+	set_owner(claim, &owner, revision);
+}
+
 void waxwing_claim_synced(struct waxwing_claim *claim)
 {
 	if (!claim->owner.known && !claim->vacant_since_ms)
--- a/src/node/claim.h
+++ b/src/node/claim.h
@@ -20,6 +20,7 @@
 	bool self;
 	char address[64]; /**< IP:port for messages */
 	char node[64];
+	uint64_t incarnation; /**< of the owner's process */
 	uint64_t fencing_token;
 };
 
@@ -49,6 +50,10 @@
 /** What the store says of the key, in the order of revisions. */
 void waxwing_claim_seen(struct waxwing_claim *claim, const struct waxwing_store_item *item);
 
+/** Another node has told of an owner, with the revision of its entry. */
+void waxwing_claim_told(struct waxwing_claim *claim, const char *node, const char *address,
+			uint64_t incarnation, uint64_t revision);
+
 /** The range of owners was read; from now on a missing entry is known to be missing. */
 void waxwing_claim_synced(struct waxwing_claim *claim);
 
--- a/src/node/node_cells.c
+++ b/src/node/node_cells.c
@@ -9,8 +9,11 @@
 /* Nodes of the cell's failure domain claim it after so long, each a little apart. */
 #define CLAIM_DELAY_MS	60
 #define CLAIM_SPREAD_MS 90
-/* Others, only when that domain has nobody left. */
-#define CLAIM_DELAY_FAR_MS 1000
+/*
+ * Others, only when that domain has nobody left: an owner that is cut off with its whole domain goes on
+ * there, and would lose what runs to one that could not reach its executors.
+ */
+#define CLAIM_DELAY_FAR_MS 6500
 
 static void owner_changed(void *data, const struct waxwing_cell_owner_view *owner)
 {
@@ -116,16 +119,32 @@
 {
 	Waxwing__NodeMessage message = WAXWING__NODE_MESSAGE__INIT;
 	Waxwing__CellPing ping = WAXWING__CELL_PING__INIT;
+	uint64_t tokens[CELLS_TOLD_MOST];
+	GPtrArray *cells = at->node->cells;
 
 	if (at->cell || !waxwing_claim_owner(at->claim)->known || now_ms < at->ping_next_ms)
 		return;
 	at->ping_next_ms = now_ms + PING_MS;
 	ping.sent_ms = (uint64_t)now_ms;
+	ping.n_known_tokens = MIN(cells->len, CELLS_TOLD_MOST);
+	for (size_t i = 0; i < ping.n_known_tokens; i++)
+		tokens[i] = waxwing_claim_owner(((struct node_cell *)cells->pdata[i])->claim)
+				    ->fencing_token;
+	ping.known_tokens = tokens;
 	message.ping = &ping;
 	node_send(at, &message);
 }
 
 /* The owner knows its own cell's state without a message. */
+/* How long orders that were given for this node's jobs may still have their effect. */
+static void note_orders(struct node_cell *at, int64_t now_ms)
+{
+	if (at->cell)
+		at->orders_until_ms = now_ms + ORDERS_LAST_MS;
+	else if (at->heard_ms)
+		at->orders_until_ms = MAX(at->orders_until_ms, at->heard_ms + ORDERS_LAST_MS);
+}
+
 static void look_at_own(struct node_cell *at, int64_t now_ms)
 {
 	struct waxwing_cell_view view;
@@ -147,6 +166,7 @@
 		ping(at, now_ms);
 		node_owner_run(at, now_ms);
 		look_at_own(at, now_ms);
+		note_orders(at, now_ms);
 	}
 }
 
@@ -172,6 +192,15 @@
 		at->node->touched = true;
 }
 
+static void take_news(struct waxwing_node *node, const Waxwing__OwnerNews *news)
+{
+	struct node_cell *at = node_cell_find(node, news->cell);
+
+	if (at)
+		waxwing_claim_told(at->claim, news->owner->node, news->owner->address,
+				   news->owner->incarnation, news->fencing_token);
+}
+
 static void from_owner(struct node_cell *at, const Waxwing__NodeMessage *message)
 {
 	if (message->fencing_token != waxwing_claim_owner(at->claim)->fencing_token)
@@ -180,6 +209,8 @@
 		at->heard_ms = 0;
 	if (message->pong)
 		take_pong(at, message->pong);
+	for (size_t i = 0; message->pong && i < message->pong->n_owners; i++)
+		take_news(at->node, message->pong->owners[i]);
 	if (message->has_accepted)
 		node_jobs_accepted(at, message->accepted);
 	if (message->verdict)
--- a/src/node/node_jobs.c
+++ b/src/node/node_jobs.c
@@ -8,11 +8,6 @@
 #define OFFER_AGAIN_MS 120
 /* An accepted job's verdict may have been lost: the offer, sent again, has it repeated. */
 #define VERDICT_AGAIN_MS 1000
-/*
- * A silent owner's job is safe to give to another cell: the owner has stopped it for its issuer's
- * silence, or its leases have run out.
- */
-#define MOVE_MS 1150
 /* A job for which no cell can be reached is refused after this. */
 #define NO_CELL_MS	    300
 #define NO_CELL_RETRY_MS    1000
@@ -273,7 +268,7 @@
 	if (!pending || pending->cell != copy->at)
 		return;
 	if (told.outcome == WAXWING_JOB_REFUSED) {
-		told.may_have_run = pending->offered_before;
+		told.may_have_run = pending->may_have_run;
 		if (!told.may_have_run && try_other_cell(node, pending, node_now(node)))
 			return;
 	}
@@ -320,6 +315,7 @@
 	pending->cell = to;
 	pending->accepted = false;
 	pending->offered_before = false;
+	pending->may_have_run = true;
 	offer(pending, now_ms);
 }
 
@@ -327,11 +323,12 @@
 {
 	struct node_cell *at = pending->cell;
 	const struct waxwing_cell_owner_view *owner = waxwing_claim_owner(at->claim);
-	int64_t last_ms = MAX(at->heard_ms, pending->offered_ms);
+	int64_t orders_until_ms = MAX(at->orders_until_ms, pending->offered_ms + ORDERS_LAST_MS);
 	bool reachable = node_cell_reachable(at, now_ms);
 
 	if (reachable && owner->known && owner->fencing_token != pending->token) {
 		pending->offered_before = true;
+		pending->may_have_run = true;
 		pending->accepted = false;
 		offer(pending, now_ms);
 	} else if (reachable && !at->cell && !pending->accepted &&
@@ -339,7 +336,7 @@
 		offer(pending, now_ms);
 	} else if (reachable && !at->cell && now_ms - pending->offered_ms >= VERDICT_AGAIN_MS) {
 		offer(pending, now_ms);
-	} else if (!reachable && now_ms - last_ms >= MOVE_MS) {
+	} else if (!reachable && now_ms >= orders_until_ms) {
 		move(node, pending, now_ms);
 	}
 }
--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -337,6 +337,12 @@
 	at->node->touched = true;
 }
 
+/* What a pong tells of another cell's owner. */
+struct news {
+	Waxwing__OwnerNews row; /* first */
+	Waxwing__CellOwner owner;
+};
+
 /* What pong tells of a queue. */
 struct waiting_list {
 	GPtrArray *rows; /* Waxwing__QueueWaiting */
@@ -353,11 +359,41 @@
 	g_ptr_array_add(list->rows, row);
 }
 
+/* Nodes that the store does not answer learn of new owners from those that know. */
+static void add_news(struct node_cell *about, uint64_t known_token, GPtrArray *rows)
+{
+	const struct waxwing_cell_owner_view *owner = waxwing_claim_owner(about->claim);
+	struct news *news;
+
+	if (!owner->known || owner->fencing_token <= known_token)
+		return;
+	news = g_new0(struct news, 1);
+	waxwing__owner_news__init(&news->row);
+	waxwing__cell_owner__init(&news->owner);
+	news->owner.node = (char *)owner->node;
+	news->owner.address = (char *)owner->address;
+	news->owner.incarnation = owner->incarnation;
+	news->row.cell = about->name;
+	news->row.fencing_token = owner->fencing_token;
+	news->row.owner = &news->owner;
+	g_ptr_array_add(rows, news);
+}
+
+static GPtrArray *gather_news(const struct waxwing_node *node, const Waxwing__CellPing *ping)
+{
+	GPtrArray *rows = g_ptr_array_new_with_free_func(g_free);
+
+	for (guint i = 0; i < node->cells->len && i < ping->n_known_tokens; i++)
+		add_news(node->cells->pdata[i], ping->known_tokens[i], rows);
+	return rows;
+}
+
 static void answer_ping(struct node_cell *at, uint64_t sender, const Waxwing__CellPing *ping)
 {
 	Waxwing__NodeMessage message = WAXWING__NODE_MESSAGE__INIT;
 	Waxwing__CellPong pong = WAXWING__CELL_PONG__INIT;
 	struct waiting_list list = { g_ptr_array_new_with_free_func(g_free) };
+	GPtrArray *news = gather_news(at->node, ping);
 	struct waxwing_cell_view view;
 	int64_t now_ms = node_now(at->node);
 
@@ -369,11 +405,14 @@
 	pong.wait_ms = view.wait_ms;
 	pong.n_waiting = list.rows->len;
 	pong.waiting = (Waxwing__QueueWaiting **)list.rows->pdata;
+	pong.n_owners = news->len;
+	pong.owners = (Waxwing__OwnerNews **)news->pdata;
 	message.cell = at->name;
 	message.fencing_token = waxwing_claim_owner(at->claim)->fencing_token;
 	message.pong = &pong;
 	waxwing_link_answer(at->node->link, sender, &message);
 	g_ptr_array_free(list.rows, TRUE);
+	g_ptr_array_free(news, TRUE);
 }
 
 static void take_offer(struct node_cell *at, uint64_t sender, Waxwing__NodeMessage *message)
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -16,6 +16,14 @@
 /* An owner or a node that was not heard for so long is taken as cut off or gone. */
 #define SILENT_MS 650
 
+/*
+ * After so long without a word, an owner's orders for a node's jobs have no effect any more: it has
+ * stopped them for their issuer's silence, or their leases have run out, under a successor too.
+ */
+#define ORDERS_LAST_MS 1350
+/* Cells of which pings tell what is known. */
+#define CELLS_TOLD_MOST 16
+
 /* A cell, as this node sees it. */
 struct node_cell {
 	struct waxwing_node *node;
@@ -25,6 +33,7 @@
 	int64_t heard_ms; /* 0: not since the owner changed */
 	int64_t owner_clock_ms; /* owner's clock at heard_ms */
 	int64_t ping_next_ms;
+	int64_t orders_until_ms; /* former orders for this node's jobs may have their effect until then */
 	uint32_t free_milli;
 	uint32_t wait_ms;
 	GHashTable *waiting; /* queue -> jobs */
@@ -53,6 +62,7 @@
 	int64_t offered_ms;
 	bool accepted;
 	bool offered_before; /* an earlier owner of the cell may have started it */
+	bool may_have_run; /* an owner that has not answered for it had it */
 	bool refused_once; /* one cell has refused it */
 };
 
