Turn whole nodes in virtual time; a forgotten job's refusal does not say that nothing ran

The node's following of jobs and owners had no test without network: link and clock are now given to it, libuv and ZeroMQ stay in node_loop.c and link_zmq.c. test/node_world.h has the store, executors, messages and clients in virtual time, and checks TWICE, LIMIT, REFUSED and whole answers as it goes.

--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -156,14 +156,21 @@
 	g_free(job);
 }
 
-static void give_verdict(struct waxwing_cell *cell, uint64_t issuer, int64_t now_ms,
+static void keep_verdict(struct waxwing_cell *cell, uint64_t issuer, int64_t now_ms,
 			 const Waxwing__JobVerdict *verdict)
 {
 	struct verdict_kept *kept = g_new0(struct verdict_kept, 1);
 
 	kept->verdict = *verdict;
+	kept->issuer = issuer;
 	kept->until_ms = now_ms + VERDICT_KEPT_MS;
 	g_hash_table_replace(cell->verdicts, &kept->verdict.job, kept);
+}
+
+static void give_verdict(struct waxwing_cell *cell, uint64_t issuer, int64_t now_ms,
+			 const Waxwing__JobVerdict *verdict)
+{
+	keep_verdict(cell, issuer, now_ms, verdict);
 	cell->options.ops->verdict(cell->options.data, issuer, verdict);
 }
 
@@ -280,14 +287,15 @@
 	job_end(cell, job, now_ms, WAXWING_JOB_FAILED, WAXWING_ERROR_TASK_FAILED, 0);
 }
 
-static void refuse_offer(struct waxwing_cell *cell, int64_t now_ms, uint64_t issuer,
-			 Waxwing__JobOffer *offer, enum waxwing_error_code reason,
-			 uint32_t retry_after_ms)
+/* Ends the offer with a verdict at once. */
+static void answer_offer(struct waxwing_cell *cell, int64_t now_ms, uint64_t issuer,
+			 Waxwing__JobOffer *offer, enum waxwing_job_outcome outcome,
+			 enum waxwing_error_code reason, uint32_t retry_after_ms)
 {
 	Waxwing__JobVerdict verdict = WAXWING__JOB_VERDICT__INIT;
 
 	verdict.job = offer->job->id;
-	verdict.outcome = WAXWING_JOB_REFUSED;
+	verdict.outcome = outcome;
 	verdict.has_reason = true;
 	verdict.reason = reason;
 	verdict.has_retry_after_ms = retry_after_ms != 0;
@@ -301,6 +309,13 @@
 	waxwing__job_offer__free_unpacked(offer, NULL);
 }
 
+/* A job that was given up for its issuer's silence is a new one when another issuer offers it. */
+static bool holds_for(const struct verdict_kept *kept, uint64_t issuer)
+{
+	return kept &&
+	       (kept->verdict.outcome != WAXWING_JOB_GIVEN_UP || kept->issuer == issuer);
+}
+
 /* True when the offer is of a job that needs no taking in; answers what can be answered. */
 static bool is_known(struct waxwing_cell *cell, uint64_t issuer, Waxwing__JobOffer *offer)
 {
@@ -309,7 +324,7 @@
 
 	if (job && !job->ended) {
 		job->issuer = issuer;
-	} else if (kept) {
+	} else if (holds_for(kept, issuer)) {
 		cell->options.ops->verdict(cell->options.data, issuer, &kept->verdict);
 	} else {
 		return false;
@@ -411,14 +426,14 @@
 	job = g_hash_table_lookup(cell->jobs, &spec->id);
 	if (job) {
 		/* an earlier submission's runs are still being stopped */
-		refuse_offer(cell, now_ms, issuer, offer, WAXWING_ERROR_OVERLOAD,
-			     RETRY_AFTER_LEAST_MS);
+		answer_offer(cell, now_ms, issuer, offer, WAXWING_JOB_GIVEN_UP,
+			     WAXWING_ERROR_OUTCOME_UNKNOWN, RETRY_AFTER_LEAST_MS);
 		return;
 	}
 	for (size_t i = 0; i < spec->n_steps && !before; i++) {
 		if (!step_fits_somewhere(cell, spec, spec->steps[i])) {
-			refuse_offer(cell, now_ms, issuer, offer, WAXWING_ERROR_NO_UPSTREAM,
-				     RETRY_AFTER_LEAST_MS * 5);
+			answer_offer(cell, now_ms, issuer, offer, WAXWING_JOB_REFUSED,
+				     WAXWING_ERROR_NO_UPSTREAM, RETRY_AFTER_LEAST_MS * 5);
 			return;
 		}
 	}
@@ -446,9 +461,18 @@
 
 	for (GList *at = jobs; at; at = at->next) {
 		struct cell_job *job = at->data;
+		Waxwing__JobVerdict verdict = WAXWING__JOB_VERDICT__INIT;
 
-		if (job->issuer == issuer && !job->ended)
-			waxwing_cell_withdraw(cell, now_ms, job->id);
+		if (job->issuer != issuer || job->ended)
+			continue;
+		/* if the issuer asks again, it must not hear that nothing ran */
+		verdict.job = job->id;
+		verdict.outcome = WAXWING_JOB_GIVEN_UP;
+		verdict.has_reason = true;
+		verdict.reason = WAXWING_ERROR_OUTCOME_UNKNOWN;
+		if (job->started)
+			keep_verdict(cell, issuer, now_ms, &verdict);
+		waxwing_cell_withdraw(cell, now_ms, job->id);
 	}
 	g_list_free(jobs);
 }
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -134,6 +134,7 @@
 
 struct verdict_kept {
 	int64_t until_ms;
+	uint64_t issuer;
 	Waxwing__JobVerdict verdict;
 };
 
--- a/src/node/link.c
+++ b/src/node/link_zmq.c
@@ -1,4 +1,4 @@
-#include "link.h"
+#include "link_zmq.h"
 
 #define LOG_PART "link"
 #include "event_log.h"
@@ -23,13 +23,14 @@
 /* A ZeroMQ socket that the loop watches. */
 struct pipe {
 	uv_poll_t poll; /* first */
-	struct waxwing_link *link;
+	struct link_zmq *link;
 	void *socket;
 	char *address; /* null: the one that takes messages */
 };
 
-struct waxwing_link {
-	struct waxwing_link_options options;
+struct link_zmq {
+	struct waxwing_link base; /* first */
+	struct waxwing_link_zmq_options options;
 	void *zmq;
 	struct pipe *inbox; /* ROUTER */
 	GHashTable *outboxes; /* address -> pipe with a DEALER */
@@ -42,7 +43,7 @@
 	zmq_setsockopt(socket, option, &value, sizeof(value));
 }
 
-static void *open_socket(struct waxwing_link *link, int type)
+static void *open_socket(struct link_zmq *link, int type)
 {
 	void *socket = zmq_socket(link->zmq, type);
 
@@ -68,7 +69,7 @@
 
 static void take_message(struct pipe *pipe, zmq_msg_t *part, uint64_t sender)
 {
-	struct waxwing_link *link = pipe->link;
+	struct link_zmq *link = pipe->link;
 	Waxwing__NodeMessage *message =
 		waxwing__node_message__unpack(NULL, zmq_msg_size(part), zmq_msg_data(part));
 
@@ -131,7 +132,7 @@
 
 static void look_again(uv_idle_t *idle)
 {
-	struct waxwing_link *link = idle->data;
+	struct link_zmq *link = idle->data;
 	GList *pipes = g_hash_table_get_values(link->outboxes);
 
 	uv_idle_stop(idle);
@@ -153,7 +154,7 @@
 	settle(pipe);
 }
 
-static struct pipe *open_pipe(struct waxwing_link *link, void *socket, const char *address)
+static struct pipe *open_pipe(struct link_zmq *link, void *socket, const char *address)
 {
 	struct pipe *pipe = g_new0(struct pipe, 1);
 	int fd = -1;
@@ -186,52 +187,7 @@
 	uv_close((uv_handle_t *)&pipe->poll, pipe_closed);
 }
 
-struct waxwing_link *waxwing_link_create(const struct waxwing_link_options *options,
-					 struct waxwing_error *error)
-{
-	struct waxwing_link *link = g_new0(struct waxwing_link, 1);
-	char *endpoint = g_strconcat("tcp://", options->address, NULL);
-	void *socket;
-
-	link->options = *options;
-	link->zmq = zmq_ctx_new();
-	link->outboxes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, close_pipe);
-	uv_idle_init(options->loop, &link->again);
-	link->again.data = link;
-	socket = open_socket(link, ZMQ_ROUTER);
-	set_int(socket, ZMQ_ROUTER_HANDOVER, 1);
-	if (zmq_bind(socket, endpoint) != 0) {
-		waxwing_error_set(error, WAXWING_ERROR_SYSTEM, "InternalPorts",
-				  "cannot take messages at %s: %s", options->address,
-				  zmq_strerror(errno));
-		zmq_close(socket);
-		g_hash_table_destroy(link->outboxes);
-		zmq_ctx_term(link->zmq);
-		g_free(endpoint);
-		g_free(link);
-		return NULL;
-	}
-	link->inbox = open_pipe(link, socket, NULL);
-	g_free(endpoint);
-	return link;
-}
-
-static void link_closed(uv_handle_t *handle)
-{
-	g_free(handle->data);
-}
-
-void waxwing_link_destroy(struct waxwing_link *link)
-{
-	if (!link)
-		return;
-	close_pipe(link->inbox);
-	g_hash_table_destroy(link->outboxes);
-	zmq_ctx_term(link->zmq);
-	uv_close((uv_handle_t *)&link->again, link_closed);
-}
-
-static struct pipe *find_outbox(struct waxwing_link *link, const char *address)
+static struct pipe *find_outbox(struct link_zmq *link, const char *address)
 {
 	struct pipe *pipe = g_hash_table_lookup(link->outboxes, address);
 	char *endpoint;
@@ -274,9 +230,10 @@
 	}
 }
 
-void waxwing_link_send(struct waxwing_link *link, const char *address,
-		       const Waxwing__NodeMessage *message)
+static void zmq_link_send(struct waxwing_link *base, const char *address,
+			  const Waxwing__NodeMessage *message)
 {
+	struct link_zmq *link = (struct link_zmq *)base;
 	struct pipe *pipe = find_outbox(link, address);
 	GByteArray *packed;
 
@@ -290,9 +247,10 @@
 	settle(pipe);
 }
 
-void waxwing_link_answer(struct waxwing_link *link, uint64_t sender,
-			 const Waxwing__NodeMessage *message)
+static void zmq_link_answer(struct waxwing_link *base, uint64_t sender,
+			    const Waxwing__NodeMessage *message)
 {
+	struct link_zmq *link = (struct link_zmq *)base;
 	GByteArray *packed = pack(message);
 
 	send_part(link->inbox, &sender, sizeof(sender), ZMQ_SNDMORE);
@@ -301,12 +259,61 @@
 	settle(link->inbox);
 }
 
-void waxwing_link_forget(struct waxwing_link *link, const char *address)
+static uint64_t zmq_link_dropped(const struct waxwing_link *base)
 {
-	g_hash_table_remove(link->outboxes, address);
+	return ((const struct link_zmq *)base)->dropped;
 }
 
-uint64_t waxwing_link_dropped(const struct waxwing_link *link)
+static const struct waxwing_link_ops zmq_link_ops = {
+	.send = zmq_link_send,
+	.answer = zmq_link_answer,
+	.dropped = zmq_link_dropped,
+};
+
+struct waxwing_link *waxwing_link_zmq_create(const struct waxwing_link_zmq_options *options,
+					 struct waxwing_error *error)
 {
-	return link->dropped;
+	struct link_zmq *link = g_new0(struct link_zmq, 1);
+	char *endpoint = g_strconcat("tcp://", options->address, NULL);
+	void *socket;
+
+	link->base.ops = &zmq_link_ops;
+	link->options = *options;
+	link->zmq = zmq_ctx_new();
+	link->outboxes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, close_pipe);
+	uv_idle_init(options->loop, &link->again);
+	link->again.data = link;
+	socket = open_socket(link, ZMQ_ROUTER);
+	set_int(socket, ZMQ_ROUTER_HANDOVER, 1);
+	if (zmq_bind(socket, endpoint) != 0) {
+		waxwing_error_set(error, WAXWING_ERROR_SYSTEM, "InternalPorts",
+				  "cannot take messages at %s: %s", options->address,
+				  zmq_strerror(errno));
+		zmq_close(socket);
+		g_hash_table_destroy(link->outboxes);
+		zmq_ctx_term(link->zmq);
+		g_free(endpoint);
+		g_free(link);
+		return NULL;
+	}
+	link->inbox = open_pipe(link, socket, NULL);
+	g_free(endpoint);
+	return &link->base;
+}
+
+static void link_closed(uv_handle_t *handle)
+{
+	g_free(handle->data);
+}
+
+void waxwing_link_zmq_destroy(struct waxwing_link *base)
+{
+	struct link_zmq *link = (struct link_zmq *)base;
+
+	if (!link)
+		return;
+	close_pipe(link->inbox);
+	g_hash_table_destroy(link->outboxes);
+	zmq_ctx_term(link->zmq);
+	uv_close((uv_handle_t *)&link->again, link_closed);
 }
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -96,7 +96,7 @@
 }
 
 /* Cells that had events do their work, and what came of it is told, until all is quiet. */
-static void settle(struct waxwing_node *node)
+void waxwing_node_settle(struct waxwing_node *node)
 {
 	int64_t now_ms = node_now(node);
 
@@ -108,11 +108,6 @@
 	node_jobs_tell(node);
 }
 
-static void after_events(uv_check_t *check)
-{
-	settle(check->data);
-}
-
 static bool owns_cell(const struct waxwing_node *node)
 {
 	for (guint i = 0; i < node->cells->len; i++)
@@ -121,9 +116,8 @@
 	return false;
 }
 
-static void tick(uv_timer_t *timer)
+void waxwing_node_run(struct waxwing_node *node)
 {
-	struct waxwing_node *node = timer->data;
 	int64_t now_ms = node_now(node);
 
 	if (node->last_turn_ms && now_ms - node->last_turn_ms >= STALL_MS)
@@ -140,36 +134,17 @@
 			waxwing_claim_synced(((struct node_cell *)node->cells->pdata[i])->claim);
 	node_cells_run(node, now_ms);
 	node_jobs_run(node, now_ms);
-	settle(node);
+	waxwing_node_settle(node);
 }
 
-static uint64_t random_incarnation(void)
-{
-	uint64_t incarnation = (uint64_t)g_random_int() << 32 | g_random_int();
-
-	return incarnation | 1; /* ZeroMQ's routing ids do not begin with a zero byte */
-}
-
-struct waxwing_node *waxwing_node_create(const struct waxwing_node_options *options,
-					 struct waxwing_error *error)
+struct waxwing_node *waxwing_node_create(const struct waxwing_node_options *options)
 {
 	struct waxwing_node *node = g_new0(struct waxwing_node, 1);
-	struct waxwing_link_options link = {
-		.loop = options->loop,
-		.address = options->address,
-		.received = node_received,
-		.data = node,
-	};
 
 	node->options = *options;
-	node->clock = waxwing_clock_boottime();
-	node->incarnation = random_incarnation();
-	link.incarnation = node->incarnation;
-	node->link = waxwing_link_create(&link, error);
-	if (!node->link) {
-		g_free(node);
-		return NULL;
-	}
+	node->clock = options->clock;
+	node->incarnation = options->incarnation;
+	node->link = options->link;
 	node->next_ownership = 1;
 	node->cells = g_ptr_array_new();
 	node->verdicts = g_ptr_array_new_with_free_func(g_free);
@@ -179,20 +154,9 @@
 	node->routing_watch = watch(node, options->routing_key, routing_changed);
 	node->owner_watch = watch(node, WAXWING_CLAIM_PREFIX, owner_entry_changed);
 	node->executor_watch = watch(node, options->executor_prefix, executor_entry_changed);
-	uv_timer_init(options->loop, &node->timer);
-	node->timer.data = node;
-	uv_timer_start(&node->timer, tick, 0, TICK_MS);
-	uv_check_init(options->loop, &node->after_events);
-	node->after_events.data = node;
-	uv_check_start(&node->after_events, after_events);
 	return node;
 }
 
-static void node_closed(uv_handle_t *handle)
-{
-	g_free(handle->data);
-}
-
 void waxwing_node_destroy(struct waxwing_node *node)
 {
 	if (!node)
@@ -201,14 +165,12 @@
 	waxwing_store_watch_destroy(node->owner_watch);
 	waxwing_store_watch_destroy(node->executor_watch);
 	node_cells_destroy(node);
-	waxwing_link_destroy(node->link);
 	waxwing_routing_destroy(node->routing);
 	g_hash_table_destroy(node->pendings);
 	g_ptr_array_free(node->verdicts, TRUE);
 	if (node->entries)
 		g_hash_table_destroy(node->entries);
-	uv_close((uv_handle_t *)&node->after_events, NULL);
-	uv_close((uv_handle_t *)&node->timer, node_closed);
+	g_free(node);
 }
 
 const struct waxwing_routing *waxwing_node_routing(const struct waxwing_node *node)
@@ -216,16 +178,19 @@
 	return node->routing;
 }
 
-bool waxwing_node_ready(const struct waxwing_node *node)
+uint32_t waxwing_node_reachable_cells(const struct waxwing_node *node)
 {
 	int64_t now_ms = node_now(node);
+	uint32_t count = 0;
 
-	if (!node->routing || node->leaving)
-		return false;
 	for (guint i = 0; i < node->cells->len; i++)
-		if (node_cell_reachable(node->cells->pdata[i], now_ms))
-			return true;
-	return false;
+		count += node_cell_reachable(node->cells->pdata[i], now_ms);
+	return count;
+}
+
+bool waxwing_node_ready(const struct waxwing_node *node)
+{
+	return node->routing && !node->leaving && waxwing_node_reachable_cells(node) > 0;
 }
 
 void waxwing_node_leave(struct waxwing_node *node)
@@ -265,7 +230,7 @@
 			       (unsigned long long)node->not_completed,
 			       g_hash_table_size(node->pendings),
 			       (unsigned long long)node->takeovers,
-			       (unsigned long long)waxwing_link_dropped(node->link),
+			       (unsigned long long)node->link->ops->dropped(node->link),
 			       (unsigned long long)waxwing_event_log_dropped(),
 			       (unsigned long long)(node->routing ? node->routing->version : 0),
 			       (long long)(node->store_lost_ms ? now_ms - node->store_lost_ms : 0));
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -2,23 +2,26 @@
  * One entry node: takes callers' jobs, finds the cell that is to run each, and runs the cells that it
  * owns. Nodes meet in the platform's store; nothing is agreed on the path of a request.
  *
- * One thread: the loop's. Times are milliseconds.
+ * The module has no sockets, threads or clock of its own: struct waxwing_node_loop turns it on a libuv
+ * loop, tests turn it in virtual time. Not thread-safe. Times are milliseconds.
  */
 #ifndef WAXWING_NODE_H
 #define WAXWING_NODE_H
 
 #include "cell.h"
+#include "clock.h"
 #include "executors.h"
+#include "link.h"
 #include "routing.h"
 #include "store.h"
 #include "waxwingswitch/error.h"
 
-#include <uv.h>
-
 struct waxwing_node;
 
 struct waxwing_node_options {
-	uv_loop_t *loop;
+	const struct waxwing_clock *clock; /**< counts the time that the machine was suspended too */
+	struct waxwing_link *link;
+	uint64_t incarnation; /**< of this process, never used twice */
 	struct waxwing_store *store;
 	struct waxwing_executors *executors;
 	const char *name;
@@ -54,11 +57,22 @@
 	struct waxwing_ticket *next;
 };
 
-/** Creates a node and starts to follow the store; null and @error on failure. */
-struct waxwing_node *waxwing_node_create(const struct waxwing_node_options *options,
-					 struct waxwing_error *error);
+struct waxwing_node *waxwing_node_create(const struct waxwing_node_options *options);
 void waxwing_node_destroy(struct waxwing_node *node);
 
+/** Time between two calls of waxwing_node_run(). */
+#define WAXWING_NODE_TICK_MS 10
+
+/** Lets time pass: sends what is due. */
+void waxwing_node_run(struct waxwing_node *node);
+
+/** Does what the events since the last call ask for, and tells what came of them. Call after events. */
+void waxwing_node_settle(struct waxwing_node *node);
+
+/** A message came; @sender 0: from an owner that this node has sent to. Takes what it keeps out of it. */
+void waxwing_node_received(struct waxwing_node *node, uint64_t sender,
+			   Waxwing__NodeMessage *message);
+
 /** The configuration in force; null: none yet. Valid until the loop's next turn. */
 const struct waxwing_routing *waxwing_node_routing(const struct waxwing_node *node);
 
@@ -78,9 +92,15 @@
 /** True when callers' requests can be served here. */
 bool waxwing_node_ready(const struct waxwing_node *node);
 
+/** Cells whose owner is heard of, this node's own among them. */
+uint32_t waxwing_node_reachable_cells(const struct waxwing_node *node);
+
 /** Gives up owned cells and takes none again. What callers wait for goes on. */
 void waxwing_node_leave(struct waxwing_node *node);
 
+/** Answers everyone who waits, as the process must end: what was offered may have run. */
+void waxwing_node_give_up(struct waxwing_node *node);
+
 /** True when nobody waits for an answer and no cell is owned or being given up. */
 bool waxwing_node_idle(const struct waxwing_node *node);
 
--- a/src/node/node_cells.c
+++ b/src/node/node_cells.c
@@ -112,7 +112,7 @@
 		message->has_heard_ms = true;
 		message->heard_ms = (uint64_t)owner_clock(at, node_now(at->node));
 	}
-	waxwing_link_send(at->node->link, owner->address, message);
+	at->node->link->ops->send(at->node->link, owner->address, message);
 }
 
 static void ping(struct node_cell *at, int64_t now_ms)
@@ -151,7 +151,7 @@
 
 	if (!at->cell || now_ms < at->ping_next_ms)
 		return;
-	at->ping_next_ms = now_ms + TICK_MS;
+	at->ping_next_ms = now_ms + WAXWING_NODE_TICK_MS;
 	waxwing_cell_view(at->cell, now_ms, &view);
 	at->free_milli = view.free_milli;
 	at->wait_ms = view.wait_ms;
@@ -217,9 +217,9 @@
 		node_jobs_verdict(at, message->verdict);
 }
 
-void node_received(void *data, uint64_t sender, Waxwing__NodeMessage *message)
+void waxwing_node_received(struct waxwing_node *node, uint64_t sender,
+			   Waxwing__NodeMessage *message)
 {
-	struct waxwing_node *node = data;
 	struct node_cell *at = node_cell_find(node, message->cell);
 
 	if (!at) {
--- a/src/node/node_jobs.c
+++ b/src/node/node_jobs.c
@@ -368,6 +368,19 @@
 	g_list_free(pendings);
 }
 
+void waxwing_node_give_up(struct waxwing_node *node)
+{
+	GList *pendings = g_hash_table_get_values(node->pendings);
+
+	for (GList *at = pendings; at; at = at->next) {
+		struct pending *pending = at->data;
+
+		withdraw(pending);
+		refuse(node, pending, pending->cell != NULL, WAXWING_ERROR_LEAVING);
+	}
+	g_list_free(pendings);
+}
+
 uint32_t waxwing_node_waiting(const struct waxwing_node *node, const char *queue)
 {
 	uint32_t jobs = 0;
--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -146,7 +146,7 @@
 	message.cell = at->name;
 	message.fencing_token = waxwing_claim_owner(at->claim)->fencing_token;
 	message.verdict = (Waxwing__JobVerdict *)verdict;
-	waxwing_link_answer(at->node->link, issuer, &message);
+	at->node->link->ops->answer(at->node->link, issuer, &message);
 }
 
 /* Only noted here: the cell is in the midst of its work. */
@@ -285,7 +285,7 @@
 	message.released = true;
 	g_hash_table_iter_init(&iter, at->issuers);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		waxwing_link_answer(at->node->link, ((struct issuer *)value)->sender, &message);
+		at->node->link->ops->answer(at->node->link, ((struct issuer *)value)->sender, &message);
 	g_hash_table_destroy(at->issuers);
 	at->issuers = NULL;
 	waxwing_cell_destroy(at->cell);
@@ -410,7 +410,7 @@
 	message.cell = at->name;
 	message.fencing_token = waxwing_claim_owner(at->claim)->fencing_token;
 	message.pong = &pong;
-	waxwing_link_answer(at->node->link, sender, &message);
+	at->node->link->ops->answer(at->node->link, sender, &message);
 	g_ptr_array_free(list.rows, TRUE);
 	g_ptr_array_free(news, TRUE);
 }
@@ -430,7 +430,7 @@
 	answer.fencing_token = message->fencing_token;
 	answer.has_accepted = true;
 	answer.accepted = offer->job->id;
-	waxwing_link_answer(at->node->link, sender, &answer);
+	at->node->link->ops->answer(at->node->link, sender, &answer);
 	message->offer = NULL;
 	node_owner_offer(at, sender, offer);
 }
@@ -445,7 +445,7 @@
 		answer.fencing_token = message->fencing_token;
 		answer.has_released = true;
 		answer.released = true;
-		waxwing_link_answer(at->node->link, sender, &answer);
+		at->node->link->ops->answer(at->node->link, sender, &answer);
 		return;
 	}
 	find_issuer(at, sender, node_now(at->node));
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -9,8 +9,6 @@
 
 #include <glib.h>
 
-/* The node's own clockwork. */
-#define TICK_MS 10
 /* Pings to the owner of each cell; nodes in many share the owners' time. */
 #define PING_MS 100
 /* An owner or a node that was not heard for so long is taken as cut off or gone. */
@@ -77,8 +75,6 @@
 	GPtrArray *cells; /* struct node_cell */
 	GHashTable *pendings; /* id -> pending */
 	GHashTable *entries; /* executor key -> struct entry_copy */
-	uv_timer_t timer;
-	uv_check_t after_events;
 	uint64_t incarnation;
 	uint64_t next_ownership;
 	int64_t last_turn_ms;
@@ -100,7 +96,6 @@
 void node_cells_run(struct waxwing_node *node, int64_t now_ms);
 bool node_cell_reachable(const struct node_cell *at, int64_t now_ms);
 void node_send(struct node_cell *at, Waxwing__NodeMessage *message);
-void node_received(void *data, uint64_t sender, Waxwing__NodeMessage *message);
 struct node_cell *node_cell_find(struct waxwing_node *node, const char *name);
 
 /* node_owner.c */
--- /dev/null
+++ b/test/test_node_faults.c
@@ -0,0 +1,380 @@
+/* Whole nodes in virtual time: what callers were told holds under every kind of fault. */
+#include "event_log.h"
+#include "node_world.h"
+
+/* Longest that a caller is sent from one answer to the next after the faults are over. */
+#define CALM_MS	    25000
+#define ARRIVAL_MS  25
+#define SETTLE_MS   3000
+#define MIX_SEEDS   40
+#define MIX_MS	    20000
+#define FAULT_MS    700
+
+static void assert_promises(const struct world *world)
+{
+	if (world->violations)
+		g_test_message("%u violations, the first: %s", world->violations,
+			       world->first_violation);
+	g_assert_cmpstr(world->first_violation, ==, "");
+}
+
+/* Jobs come for @ms; then all that wait come to an end. */
+static void serve(struct world *world, int64_t ms)
+{
+	for (int64_t passed = 0; passed < ms; passed += ARRIVAL_MS) {
+		client_arrives(world);
+		world_run(world, ARRIVAL_MS);
+	}
+}
+
+static void assert_all_answered(struct world *world)
+{
+	world_run(world, CALM_MS);
+	g_assert_cmpuint(world_count(world, CLIENT_WAITS), ==, 0);
+	for (int i = 0; i < EXECUTORS; i++)
+		g_assert_cmpuint(world->executors[i].runs->len, ==, 0);
+	assert_promises(world);
+}
+
+static double served_share(const struct world *world)
+{
+	return (double)world_count(world, CLIENT_SERVED) / (double)g_hash_table_size(world->jobs);
+}
+
+static struct world *begin(uint32_t seed)
+{
+	struct world *world = world_create(seed);
+
+	world_run(world, SETTLE_MS);
+	return world;
+}
+
+/* The node that owns a failure domain's cell, by the store's entry. */
+static int owner_of(struct world *world, int zone)
+{
+	char key[16];
+	struct store_entry *entry;
+	Waxwing__CellOwner *owner;
+	int index;
+
+	snprintf(key, sizeof(key), "cells/%s", zone_names[zone]);
+	entry = g_hash_table_lookup(world->entries, key);
+	if (!entry)
+		return -1;
+	owner = waxwing__cell_owner__unpack(NULL, entry->len, (uint8_t *)entry->value);
+	index = atoi(owner->node + strlen("node-"));
+	waxwing__cell_owner__free_unpacked(owner, NULL);
+	return index;
+}
+
+static void test_calm(void)
+{
+	struct world *world = begin(1);
+
+	serve(world, 5000);
+	assert_all_answered(world);
+	g_assert_cmpuint(world_count(world, CLIENT_SERVED), ==, g_hash_table_size(world->jobs));
+	world_destroy(world);
+}
+
+/* The cell's other node takes it; jobs of other nodes go on where they ran or run again. */
+static void test_owner_killed(void)
+{
+	struct world *world = begin(2);
+	int owner = owner_of(world, 0);
+
+	g_assert_cmpint(owner, >=, 0);
+	serve(world, 2000);
+	node_kill(world, owner);
+	serve(world, 3000);
+	g_assert_cmpint(owner_of(world, 0), !=, owner);
+	g_assert_cmpint(owner_of(world, 0), >=, 0);
+	node_start(world, owner);
+	serve(world, 1000);
+	assert_all_answered(world);
+	g_assert_cmpfloat(served_share(world), >, 0.95);
+	world_destroy(world);
+}
+
+/*
+ * An owner whose entry is taken away while it cannot reach the store: its successor's token fences it,
+ * and its own callers' jobs are not started elsewhere while their runs hold leases. Their refusal, if
+ * there is one, does not say that nothing ran (both were wrong at first).
+ */
+static void test_owner_revoked(void)
+{
+	for (uint32_t seed = 1; seed <= 10; seed++) {
+		struct world *world = begin(seed);
+		int owner = owner_of(world, 0);
+
+		serve(world, 1000);
+		world->nodes[owner].store_cut = true;
+		store_remove(world, "cells/z0");
+		serve(world, 4000);
+		world->nodes[owner].store_cut = false;
+		serve(world, 2000);
+		assert_all_answered(world);
+		g_assert_cmpfloat(served_share(world), >, 0.95);
+		world_destroy(world);
+	}
+}
+
+/* A node that the store does not answer learns of a new owner from its peers. */
+static void test_owner_told_by_peers(void)
+{
+	struct world *world = begin(4);
+	int owner = owner_of(world, 0);
+	int apart = (owner + 1) % NODES; /* of another failure domain */
+	const struct waxwing_node *node;
+
+	world->nodes[apart].store_cut = true;
+	world_run(world, 2000);
+	node_kill(world, owner);
+	world_run(world, 4000);
+	serve(world, 2000);
+	node = world->nodes[apart].node;
+	g_assert_true(waxwing_node_ready(node));
+	g_assert_cmpuint(waxwing_node_reachable_cells(node), ==, ZONES);
+	assert_all_answered(world);
+	world_destroy(world);
+}
+
+static void test_owner_frozen(void)
+{
+	for (uint32_t seed = 1; seed <= 10; seed++) {
+		struct world *world = begin(seed);
+		int owner = owner_of(world, 1);
+
+		serve(world, 1000);
+		world->nodes[owner].frozen_until_ms =
+			world_now(world) + g_rand_int_range(world->random, 300, 4500);
+		serve(world, 6000);
+		assert_all_answered(world);
+		world_destroy(world);
+	}
+}
+
+/* Cut off with its executors, a failure domain goes on serving its own callers. */
+static void test_zone_cut(void)
+{
+	struct world *world = begin(6);
+	int owner = owner_of(world, 2);
+	uint32_t served;
+
+	serve(world, 1000);
+	world->zone_cut[2] = true;
+	world_run(world, 2000);
+	served = world_count(world, CLIENT_SERVED);
+	serve(world, 3500);
+	g_assert_cmpuint(world_count(world, CLIENT_SERVED) - served, >, 100);
+	world->zone_cut[2] = false;
+	serve(world, 2000);
+	g_assert_cmpint(owner_of(world, 2), ==, owner);
+	assert_all_answered(world);
+	world_destroy(world);
+}
+
+/* Without the store, what is known goes on. */
+static void test_store_down(void)
+{
+	struct world *world = begin(7);
+
+	serve(world, 500);
+	world->store_down = true;
+	serve(world, 6000);
+	world->store_down = false;
+	serve(world, 1000);
+	assert_all_answered(world);
+	g_assert_cmpfloat(served_share(world), >, 0.99);
+	world_destroy(world);
+}
+
+/* An order that arrives seconds later starts nothing beside its task's next run. */
+static void test_late_orders(void)
+{
+	for (uint32_t seed = 1; seed <= 10; seed++) {
+		struct world *world = begin(seed);
+
+		world->late_share = 0.06;
+		serve(world, 5000);
+		world->late_share = 0;
+		assert_all_answered(world);
+		world_destroy(world);
+	}
+}
+
+static void test_executor_cut(void)
+{
+	struct world *world = begin(9);
+
+	serve(world, 1000);
+	for (int i = 0; i < 3; i++)
+		world->executors[i].cut = true;
+	serve(world, 3000);
+	for (int i = 0; i < 3; i++)
+		world->executors[i].cut = false;
+	serve(world, 1000);
+	assert_all_answered(world);
+	g_assert_cmpfloat(served_share(world), >, 0.95);
+	world_destroy(world);
+}
+
+static void test_executor_restarts(void)
+{
+	struct world *world = begin(10);
+
+	for (int i = 0; i < 8; i++) {
+		struct world_executor *executor = &world->executors[i % EXECUTORS];
+
+		serve(world, 400);
+		executor_crash(world, executor);
+		list_executor(world, executor);
+	}
+	assert_all_answered(world);
+	g_assert_cmpfloat(served_share(world), >, 0.95);
+	world_destroy(world);
+}
+
+/* A node that leaves gives its cell away; nothing is lost. */
+static void test_leave(void)
+{
+	struct world *world = begin(11);
+	int owner = owner_of(world, 0);
+
+	serve(world, 1000);
+	waxwing_node_leave(world->nodes[owner].node);
+	serve(world, 2500);
+	g_assert_cmpint(owner_of(world, 0), !=, owner);
+	g_assert_cmpint(owner_of(world, 0), >=, 0);
+	assert_all_answered(world);
+	g_assert_cmpfloat(served_share(world), >, 0.98);
+	g_assert_true(waxwing_node_idle(world->nodes[owner].node));
+	world_destroy(world);
+}
+
+static void all_killed(void)
+{
+	struct world *world = begin(12);
+
+	serve(world, 1000);
+	kill_all(world);
+	world_run(world, 1500);
+	for (int i = 0; i < NODES; i++)
+		node_start(world, i);
+	serve(world, 3000);
+	assert_all_answered(world);
+	world_destroy(world);
+}
+
+static void begin_fault(struct world *world)
+{
+	int node = g_rand_int_range(world->random, 0, NODES);
+	int executor = g_rand_int_range(world->random, 0, EXECUTORS);
+	int zone = g_rand_int_range(world->random, 0, ZONES);
+
+	switch (g_rand_int_range(world->random, 0, 10)) {
+	case 0:
+		node_kill(world, node);
+		break;
+	case 1:
+		if (world->nodes[node].node && !world->nodes[node].frozen_until_ms)
+			world->nodes[node].frozen_until_ms =
+				world_now(world) + g_rand_int_range(world->random, 100, 4000);
+		break;
+	case 2:
+		world->nodes[node].store_cut = true;
+		break;
+	case 3:
+		world->zone_cut[zone] = true;
+		break;
+	case 4:
+		world->store_down = true;
+		break;
+	case 5:
+		world->store_lost_share = 0.4;
+		break;
+	case 6:
+		world->late_share = 0.05;
+		break;
+	case 7:
+		world->executors[executor].cut = true;
+		break;
+	case 8:
+		executor_crash(world, &world->executors[executor]);
+		list_executor(world, &world->executors[executor]);
+		break;
+	case 9:
+		/* taken away, and no request shows it */
+		if (owner_of(world, zone) >= 0) {
+			char key[16];
+
+			snprintf(key, sizeof(key), "cells/%s", zone_names[zone]);
+			store_remove(world, key);
+		}
+		break;
+	}
+}
+
+static void end_faults(struct world *world, double share)
+{
+	for (int i = 0; i < NODES; i++) {
+		struct world_node *at = &world->nodes[i];
+
+		if (!at->node && world_chance(world, share))
+			node_start(world, i);
+		if (world_chance(world, share))
+			at->store_cut = false;
+	}
+	for (int i = 0; i < EXECUTORS; i++)
+		if (world_chance(world, share))
+			world->executors[i].cut = false;
+	for (int i = 0; i < ZONES; i++)
+		if (world_chance(world, share))
+			world->zone_cut[i] = false;
+	if (world_chance(world, share))
+		world->store_down = false;
+	if (world_chance(world, share))
+		world->store_lost_share = 0;
+	if (world_chance(world, share))
+		world->late_share = 0;
+}
+
+/* Faults of all kinds, in series and overlapping. Seeds that once failed stay. */
+static void test_mix(void)
+{
+	for (uint32_t seed = g_getenv("WAXWING_TEST_SEED") ? (uint32_t)atoi(g_getenv("WAXWING_TEST_SEED")) : 1;
+	     seed <= MIX_SEEDS; seed++) {
+		struct world *world = begin(seed);
+
+		g_test_message("seed %u", seed);
+		for (int64_t passed = 0; passed < MIX_MS; passed += FAULT_MS) {
+			begin_fault(world);
+			serve(world, FAULT_MS);
+			end_faults(world, 0.35);
+		}
+		end_faults(world, 1);
+		assert_all_answered(world);
+		world_destroy(world);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	if (g_getenv("WAXWING_TEST_EVENTS"))
+		waxwing_event_log_open("test", "test");
+	g_test_add_func("/node/calm", test_calm);
+	g_test_add_func("/node/owner_killed", test_owner_killed);
+	g_test_add_func("/node/owner_revoked", test_owner_revoked);
+	g_test_add_func("/node/owner_told_by_peers", test_owner_told_by_peers);
+	g_test_add_func("/node/owner_frozen", test_owner_frozen);
+	g_test_add_func("/node/zone_cut", test_zone_cut);
+	g_test_add_func("/node/store_down", test_store_down);
+	g_test_add_func("/node/late_orders", test_late_orders);
+	g_test_add_func("/node/executor_cut", test_executor_cut);
+	g_test_add_func("/node/executor_restarts", test_executor_restarts);
+	g_test_add_func("/node/leave", test_leave);
+	g_test_add_func("/node/all_killed", all_killed);
+	g_test_add_func("/node/mix", test_mix);
+	return g_test_run();
+}
