--- a/src/base/event_log.c
+++ b/src/base/event_log.c
@@ -1,7 +1,5 @@
 #include "event_log.h"
 
-#include "clock.h"
-
 #include <errno.h>
 #include <fcntl.h>
 #include <glib.h>
@@ -29,8 +27,19 @@
 	bool open;
 	GHashTable *budgets; /* kind's address -> budget */
 	uint64_t dropped;
+	const struct waxwing_clock *clock; /* null: the machine's */
 } event_log;
 
+static int64_t now_by(const struct waxwing_clock *otherwise)
+{
+	return waxwing_clock_now(event_log.clock ? event_log.clock : otherwise);
+}
+
+void waxwing_event_log_set_clock(const struct waxwing_clock *clock)
+{
+	event_log.clock = clock;
+}
+
 void waxwing_event_log_open(const char *node, const char *zone)
 {
 	int flags = fcntl(STDOUT_FILENO, F_GETFL);
@@ -120,7 +129,7 @@
 
 	if (!event_log.open)
 		return;
-	now_ms = waxwing_clock_now(waxwing_clock_monotonic());
+	now_ms = now_by(waxwing_clock_monotonic());
 	if (!may_write(kind, now_ms, &left_out))
 		return;
 	va_start(args, format);
@@ -128,7 +137,7 @@
 	va_end(args);
 	line = g_string_sized_new(LINE_BYTES);
 	g_string_printf(line, "{\"ms\":%lld,\"event\":\"%s\",%s",
-			(long long)waxwing_clock_now(waxwing_clock_wall()), kind, event_log.head);
+			(long long)now_by(waxwing_clock_wall()), kind, event_log.head);
 	add_fields(line, fields);
 	if (left_out)
 		g_string_append_printf(line, ",\"left_out\":%u", left_out);
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -7,11 +7,16 @@
 #ifndef WAXWING_EVENT_LOG_H
 #define WAXWING_EVENT_LOG_H
 
+#include "clock.h"
+
 #include <stdint.h>
 
 /** Sets what each line says of its process. Without it nothing is written. */
 void waxwing_event_log_open(const char *node, const char *zone);
 
+/** Takes all times from @clock in place of the machine's clocks: for tests in virtual time. */
+void waxwing_event_log_set_clock(const struct waxwing_clock *clock);
+
 /**
  * Writes one line. @kind must be a literal; @format gives "key=value" pairs divided by spaces, the
  * values without spaces. Numbers are written as numbers, other values as strings.
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -72,6 +72,11 @@
 	cell->options.fencing_token = MAX(cell->options.fencing_token, fencing_token);
 }
 
+void waxwing_cell_list_is_complete(struct waxwing_cell *cell)
+{
+	cell->options.list_incomplete = false;
+}
+
 void waxwing_cell_run(struct waxwing_cell *cell, int64_t now_ms)
 {
 	if (now_ms - cell->swept_ms >= SWEEP_MS) {
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -145,6 +145,11 @@
 	uint32_t stop_ms; /**< longest time that a stop takes */
 	double far_factor; /**< how much longer a task takes away from its data */
 	bool took_over; /**< executors may hold runs of a former owner's orders */
+	/**
+	 * Executors that are not known yet may hold such runs too: tasks of jobs that a former owner had
+	 * wait until the leases that it gave have run out.
+	 */
+	bool list_incomplete;
 };
 
 struct waxwing_cell *waxwing_cell_create(int64_t now_ms, const struct waxwing_cell_options *options);
@@ -153,6 +158,9 @@
 /** Goes on under a new, higher token: the same owner has claimed the cell anew. */
 void waxwing_cell_set_token(struct waxwing_cell *cell, uint64_t fencing_token);
 
+/** All executors that the former owner could have known are known here too. */
+void waxwing_cell_list_is_complete(struct waxwing_cell *cell);
+
 /** Adds an executor, or takes over what its entry says now. Of other failure domains too. */
 void waxwing_cell_set_executor(struct waxwing_cell *cell, int64_t now_ms,
 			       const struct waxwing_executor_entry *entry);
--- a/src/cell/cell_executor.c
+++ b/src/cell/cell_executor.c
@@ -54,32 +54,32 @@
 int64_t executor_until(const struct waxwing_cell *cell, const struct executor *executor,
 		       int64_t now_ms)
 {
-	int64_t lease_ms = MIN(LEASE_MS, cell->options.lease_most_ms);
-
-	return executor->clock_ms + (now_ms - executor->clock_at_ms) + lease_ms;
+	return executor->clock_ms + (now_ms - executor->clock_at_ms) + cell->options.lease_most_ms;
 }
 
 void executor_lease_given(const struct waxwing_cell *cell, struct executor *executor,
 			  int64_t now_ms)
 {
-	double lease_ms = MIN(LEASE_MS, cell->options.lease_most_ms);
-
-	executor->leased_until_ms = now_ms + (int64_t)(lease_ms / SLOWEST_CLOCK) + CERTAINTY_MS;
+	executor->leased_until_ms = now_ms + cell_lease_ms(cell);
 }
 
-/* The answer was on its way for a while, so the estimate is never ahead of the executor's clock. */
+/*
+ * The answer was on its way for a while, so the estimate is behind the executor's clock, but for the
+ * drift of a slow one. A lease that is asked for beyond the longest is shortened to that.
+ */
 void executor_take_clock(struct executor *executor, int64_t now_ms, int64_t clock_ms)
 {
-	int64_t expected = executor->clock_ms + (now_ms - executor->clock_at_ms);
-
 	if (clock_ms <= 0)
 		return;
-	if (executor->clock_at_ms && clock_ms < expected && expected - clock_ms < LEASE_MS / 2)
-		return; /* an answer that was longer on its way than an earlier one */
 	executor->clock_ms = clock_ms;
 	executor->clock_at_ms = now_ms;
 }
 
+int64_t cell_lease_ms(const struct waxwing_cell *cell)
+{
+	return (int64_t)(cell->options.lease_most_ms / SLOWEST_CLOCK) + CERTAINTY_MS;
+}
+
 static size_t ejected(const struct waxwing_cell *cell)
 {
 	size_t count = 0;
@@ -121,26 +121,17 @@
 			      executor->breaker.pause_ms);
 }
 
-/* All that ran on the former life has ended with it. */
-void executor_new_life(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms)
+/*
+ * Ends are numbered anew, by another clock. What ran on the former life is missed by the list of runs;
+ * what was started since then, before this was known, is on it.
+ */
+void executor_new_life(struct executor *executor)
 {
 	waxwing_event("executor_restarted", "executor=%s runs=%u", executor->id,
 		      executor->runs->len);
-	while (executor->runs->len)
-		run_ended(cell, executor->runs->pdata[0], WAXWING_RUN_LAPSED, now_ms);
-	g_hash_table_remove(cell->lives, &executor->life);
-	executor->life = cell->next_life++;
-	g_hash_table_insert(cell->lives, &executor->life, executor);
 	executor->ended_upto = 0;
 	executor->acked_upto = 0;
 	executor->acking = 0;
-	executor->hold_out = false;
-	executor->answered = false;
-	executor->silent = false;
-	executor->hold_wanted = true;
-	executor->hold_next_ms = now_ms;
-	executor->leased_until_ms = 0;
-	executor->clock_at_ms = 0;
 	executor->full_until_ms = 0;
 	waxwing_breaker_init(&executor->breaker);
 }
@@ -172,9 +163,7 @@
 	executor->kind = find_kind(cell, entry->kind);
 	/* what a former owner gave may last as long as any lease */
 	if (cell->options.took_over)
-		executor->leased_until_ms =
-			cell->created_ms +
-			(int64_t)(cell->options.lease_most_ms / SLOWEST_CLOCK) + CERTAINTY_MS;
+		executor->leased_until_ms = cell->created_ms + cell_lease_ms(cell);
 	waxwing_speed_init(&executor->speed, executor->kind->speed.value);
 	waxwing_breaker_init(&executor->breaker);
 	g_hash_table_insert(cell->executors, executor->id, executor);
@@ -199,11 +188,10 @@
 
 	if (!executor)
 		executor = add_executor(cell, now_ms, entry);
-	if (entry->born_ms > executor->born_ms) {
-		if (executor->born_ms)
-			executor_new_life(cell, executor, now_ms);
+	if (!executor->born_ms)
 		executor->born_ms = entry->born_ms;
-	}
+	else if (entry->born_ms > executor->born_ms)
+		executor->hold_wanted = true; /* its list tells what runs on the new life */
 	take_text(&executor->address, entry->address);
 	take_text(&executor->service, entry->service);
 	take_text(&executor->kind_name, entry->kind);
--- a/src/cell/cell_hold.c
+++ b/src/cell/cell_hold.c
@@ -173,11 +173,8 @@
 		return;
 	executor->hold_out = false;
 	if (answer->end == WAXWING_HOLD_ANSWERED && answer->born_ms > executor->born_ms) {
-		if (executor->born_ms) {
-			executor->born_ms = answer->born_ms;
-			executor_new_life(cell, executor, now_ms);
-			return;
-		}
+		if (executor->born_ms)
+			executor_new_life(executor);
 		executor->born_ms = answer->born_ms;
 	}
 	switch (answer->end) {
--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -349,9 +349,7 @@
 							  longest_chain_ms(job->queue, job->spec);
 	job->due_ms = job->arrived_ms + (int64_t)objective_ms;
 	if (offer->running_before)
-		job->unsure_until_ms =
-			cell->created_ms +
-			(int64_t)(cell->options.lease_most_ms / SLOWEST_CLOCK) + CERTAINTY_MS;
+		job->unsure_until_ms = cell->created_ms + cell_lease_ms(cell);
 	job->steps = g_new0(struct cell_step, job->spec->n_steps);
 	for (size_t i = 0; i < job->spec->n_steps; i++) {
 		job->steps[i].spec = job->spec->steps[i];
@@ -364,7 +362,10 @@
 	return job;
 }
 
-/* Runs that were found before their job was offered. */
+/*
+ * Runs that were found before their job was offered. One that is being stopped counts as out as well:
+ * its task must not start beside it.
+ */
 static void adopt_runs(struct waxwing_cell *cell, struct cell_job *job)
 {
 	for (guint i = 0; i < cell->list->len; i++) {
@@ -375,8 +376,7 @@
 
 			if (!run->job && run->name.job == job->id &&
 			    run->name.step < job->spec->n_steps &&
-			    run->name.index < job->spec->steps[run->name.step]->count &&
-			    run->state == RUN_RUNNING)
+			    run->name.index < job->spec->steps[run->name.step]->count)
 				run_adopt(cell, run, job);
 		}
 	}
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -193,8 +193,11 @@
 	}
 }
 
+/* True when every run of a former owner's orders is known. */
 static bool all_answered(const struct waxwing_cell *cell, int64_t now_ms)
 {
+	if (cell->options.list_incomplete)
+		return false;
 	for (guint i = 0; i < cell->list->len; i++) {
 		const struct executor *executor = cell->list->pdata[i];
 
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -7,8 +7,6 @@
 
 #include <glib.h>
 
-/* Lease asked for at each hold and start: several holds may be late before it runs out. */
-#define LEASE_MS 900
 /* A hold waits this long at the executor for an end. */
 #define HOLD_WAIT_MS 250
 /* Slowest that an executor's clock may run, by the protocol. */
@@ -167,6 +165,7 @@
 struct executor *cell_executor(struct waxwing_cell *cell, uint64_t life);
 void executor_target(const struct waxwing_cell *cell, const struct executor *executor,
 		     struct waxwing_order_target *target);
+int64_t cell_lease_ms(const struct waxwing_cell *cell); /* must have run out after it */
 int64_t executor_until(const struct waxwing_cell *cell, const struct executor *executor,
 		       int64_t now_ms);
 void executor_lease_given(const struct waxwing_cell *cell, struct executor *executor,
@@ -174,7 +173,7 @@
 void executor_take_clock(struct executor *executor, int64_t now_ms, int64_t clock_ms);
 void executor_failed(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms,
 		     double weight);
-void executor_new_life(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms);
+void executor_new_life(struct executor *executor);
 void cell_sweep_executors(struct waxwing_cell *cell, int64_t now_ms);
 
 /* cell_hold.c */
--- a/src/node/claim.c
+++ b/src/node/claim.c
@@ -28,6 +28,7 @@
 	uint64_t seen_revision; /* of the last entry or deletion */
 	uint64_t lease; /* 0: none */
 	int64_t vacant_since_ms; /* 0: not known to be vacant */
+	uint64_t replaces; /* revision of a released entry that a claim replaces; 0: there is none */
 	int64_t next_ms; /* of a renewal or a claim */
 	enum claim_call out;
 	bool releasing;
@@ -90,6 +91,8 @@
 {
 	claim->seen_revision = revision;
 	claim->vacant_since_ms = 0;
+	claim->owner.orderly = claim->replaces != 0;
+	claim->replaces = 0;
 	claim->owner.known = true;
 	claim->owner.self = owner->incarnation == claim->options.incarnation;
 	claim->owner.fencing_token = revision;
@@ -110,10 +113,18 @@
 	claim->vacant_since_ms = now(claim);
 	claim->next_ms = claim->vacant_since_ms + delay_ms;
 	claim->lease = 0;
+	claim->replaces = 0;
 	claim->owner.known = false;
 	tell(claim);
 }
 
+/* The former owner has ended its orders; the entry is taken over in place. */
+static void set_released(struct waxwing_claim *claim, uint64_t revision)
+{
+	set_vacant(claim, revision);
+	claim->replaces = revision;
+}
+
 void waxwing_claim_seen(struct waxwing_claim *claim, const struct waxwing_store_item *item)
 {
 	Waxwing__CellOwner *owner;
@@ -131,7 +142,10 @@
 			      item->value.len);
 		return;
 	}
-	set_owner(claim, owner, item->revision);
+	if (owner->released)
+		set_released(claim, item->revision);
+	else
+		set_owner(claim, owner, item->revision);
 	waxwing__cell_owner__free_unpacked(owner, NULL);
 }
 
@@ -184,33 +198,40 @@
 	return (struct waxwing_store_reply){ answered, claim };
 }
 
-static void send_claim(struct waxwing_claim *claim)
+static void send_entry(struct waxwing_claim *claim, enum claim_call call,
+		       const Waxwing__CellOwner *owner, uint64_t replaces, uint64_t lease)
 {
-	Waxwing__CellOwner owner = self_entry(claim);
 	uint8_t packed[512];
-	size_t len = waxwing__cell_owner__get_packed_size(&owner);
-	struct waxwing_store_change change = { .key = claim->key, .lease = claim->lease };
+	size_t len = waxwing__cell_owner__get_packed_size(owner);
+	struct waxwing_store_change change = {
+		.key = claim->key,
+		.expected_revision = replaces,
+		.lease = lease,
+	};
 
 	if (len > sizeof(packed)) {
 		log_error("The owner's entry is too long");
 		return;
 	}
-	waxwing__cell_owner__pack(&owner, packed);
+	waxwing__cell_owner__pack(owner, packed);
 	change.value = (struct waxwing_str){ len, (const char *)packed };
-	claim->options.store->ops->change(claim->options.store, &change,
-					  reply_to(claim, CALL_CLAIM));
+	claim->options.store->ops->change(claim->options.store, &change, reply_to(claim, call));
+}
+
+static void send_claim(struct waxwing_claim *claim)
+{
+	Waxwing__CellOwner owner = self_entry(claim);
+
+	send_entry(claim, CALL_CLAIM, &owner, claim->replaces, claim->lease);
 }
 
 static void send_release(struct waxwing_claim *claim)
 {
-	struct waxwing_store_change change = {
-		.key = claim->key,
-		.expected_revision = claim->owner.fencing_token,
-		.remove = true,
-	};
+	Waxwing__CellOwner owner = self_entry(claim);
 
-	claim->options.store->ops->change(claim->options.store, &change,
-					  reply_to(claim, CALL_RELEASE));
+	owner.has_released = true;
+	owner.released = true;
+	send_entry(claim, CALL_RELEASE, &owner, claim->owner.fencing_token, 0);
 }
 
 static void take_claim(struct waxwing_claim *claim, const struct waxwing_store_answer *answer)
--- a/src/node/claim.h
+++ b/src/node/claim.h
@@ -18,6 +18,7 @@
 struct waxwing_cell_owner_view {
 	bool known; /**< some node's entry stands */
 	bool self;
+	bool orderly; /**< its predecessor had ended all orders before */
 	char address[64]; /**< IP:port for messages */
 	char node[64];
 	uint64_t incarnation; /**< of the owner's process */
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -13,6 +13,9 @@
 #define ENTRIES_PACE_OWNER_MS 400
 #define ENTRIES_PACE_MS	      2000
 
+/* Entries that lapsed while the store was down are back within two seconds, by the protocol. */
+#define LIST_BACK_MS 2300
+
 /* A turn of the loop that took so long is noted: the machine stood still, or was short of time. */
 #define STALL_MS 250
 
@@ -26,7 +29,10 @@
 			waxwing_event("store_regained", "lost_ms=%lld",
 				      (long long)(now_ms - node->store_lost_ms));
 		node->store_lost_ms = 0;
-	} else if (!node->store_lost_ms) {
+		return;
+	}
+	node->list_sure_ms = now_ms + LIST_BACK_MS;
+	if (!node->store_lost_ms) {
 		node->store_lost_ms = now_ms;
 		waxwing_event("store_lost", "reached_ms_ago=%lld",
 			      (long long)(now_ms - node->store_reached_ms));
@@ -38,6 +44,16 @@
 	note_reached(data, reached);
 }
 
+/* Nothing is known of the time before the first answer. */
+static void executors_reached(void *data, bool reached)
+{
+	struct waxwing_node *node = data;
+
+	if (!node->list_sure_ms)
+		node->list_sure_ms = node_now(node) + LIST_BACK_MS;
+	note_reached(node, reached);
+}
+
 static void routing_changed(void *data, const struct waxwing_store_item *item)
 {
 	struct waxwing_node *node = data;
@@ -81,14 +97,15 @@
 
 static struct waxwing_store_watch *
 watch(struct waxwing_node *node, const char *prefix,
-      void (*changed)(void *data, const struct waxwing_store_item *item))
+      void (*changed)(void *data, const struct waxwing_store_item *item),
+      void (*reached)(void *data, bool reached))
 {
 	struct waxwing_store_watch_options options = {
 		.store = node->options.store,
 		.clock = node->clock,
 		.prefix = prefix,
 		.changed = changed,
-		.reached = store_reached,
+		.reached = reached,
 		.data = node,
 	};
 
@@ -151,9 +168,11 @@
 	node->pendings =
 		g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, node_pending_free);
 	node_cells_create(node);
-	node->routing_watch = watch(node, options->routing_key, routing_changed);
-	node->owner_watch = watch(node, WAXWING_CLAIM_PREFIX, owner_entry_changed);
-	node->executor_watch = watch(node, options->executor_prefix, executor_entry_changed);
+	node->routing_watch = watch(node, options->routing_key, routing_changed, store_reached);
+	node->owner_watch = watch(node, WAXWING_CLAIM_PREFIX, owner_entry_changed,
+				  store_reached);
+	node->executor_watch = watch(node, options->executor_prefix, executor_entry_changed,
+				     executors_reached);
 	return node;
 }
 
--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -257,6 +257,7 @@
 		.stop_ms = node->options.stop_ms,
 		.far_factor = node->options.far_factor,
 		.took_over = true,
+		.list_incomplete = true,
 	};
 
 	if (at->cell) {
@@ -268,7 +269,9 @@
 	at->issuers = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	node->takeovers++;
 	tell_entries(node);
-	waxwing_event("cell_taken", "cell=%s token=%llu", at->name, (unsigned long long)token);
+	at->list_checked = false;
+	waxwing_event("cell_taken", "cell=%s token=%llu orderly=%d", at->name,
+		      (unsigned long long)token, waxwing_claim_owner(at->claim)->orderly);
 }
 
 void node_owner_end(struct node_cell *at)
@@ -308,6 +311,22 @@
 	return issuer;
 }
 
+/*
+ * After an orderly hand-over, the list of executors that is as new as the ownership names all to which
+ * the former owner can have given orders. Otherwise that owner may still go on for a while.
+ */
+static void check_list(struct node_cell *at, int64_t now_ms)
+{
+	struct waxwing_node *node = at->node;
+	const struct waxwing_cell_owner_view *owner = waxwing_claim_owner(at->claim);
+
+	if (at->list_checked || !owner->orderly || now_ms < node->list_sure_ms ||
+	    waxwing_store_watch_revision(node->executor_watch) < owner->fencing_token)
+		return;
+	at->list_checked = true;
+	waxwing_cell_list_is_complete(at->cell);
+}
+
 void node_owner_run(struct node_cell *at, int64_t now_ms)
 {
 	GHashTableIter iter;
@@ -315,6 +334,7 @@
 
 	if (!at->cell)
 		return;
+	check_list(at, now_ms);
 	g_hash_table_iter_init(&iter, at->issuers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct issuer *issuer = value;
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -39,6 +39,7 @@
 	struct waxwing_cell *cell; /* null: not the owner */
 	uint64_t ownership; /* tells answers to orders of an earlier one */
 	GHashTable *issuers; /* sender -> struct issuer */
+	bool list_checked; /* the list of executors is known to be complete */
 	uint64_t fenced_token; /* of the ownership that an executor has ended */
 };
 
@@ -78,6 +79,7 @@
 	uint64_t incarnation;
 	uint64_t next_ownership;
 	int64_t last_turn_ms;
+	int64_t list_sure_ms; /* entries that lapsed in an outage of the store are back by then */
 	int64_t store_reached_ms;
 	int64_t store_lost_ms; /* 0: it answers */
 	GPtrArray *verdicts; /* struct verdict_copy: to be told once the cells have done their work */
--- a/src/node/store_watch.c
+++ b/src/node/store_watch.c
@@ -8,7 +8,7 @@
 #define WATCH_WAIT_MS 5000
 /* Between tries while the store does not answer or refuses. */
 #define RETRY_FIRST_MS	 100
-#define RETRY_LONGEST_MS 800
+#define RETRY_LONGEST_MS 400
 
 struct waxwing_store_watch {
 	struct waxwing_store_watch_options options;
@@ -202,3 +202,8 @@
 	watch->next_ms += (int64_t)pace_ms - watch->pace_ms;
 	watch->pace_ms = pace_ms;
 }
+
+uint64_t waxwing_store_watch_revision(const struct waxwing_store_watch *watch)
+{
+	return watch->synced ? watch->revision : 0;
+}
--- a/src/node/store_watch.h
+++ b/src/node/store_watch.h
@@ -35,6 +35,9 @@
 /** Sends what is due; call it at least each 50 ms. */
 void waxwing_store_watch_run(struct waxwing_store_watch *watch);
 
+/** All changes up to this revision of the store are known. */
+uint64_t waxwing_store_watch_revision(const struct waxwing_store_watch *watch);
+
 /** True once the whole range was read. */
 bool waxwing_store_watch_synced(const struct waxwing_store_watch *watch);
 
--- /dev/null
+++ b/test/test_cell.c
@@ -0,0 +1,458 @@
+/* One cell, order by order. */
+#include "cell.h"
+
+#include <glib.h>
+
+#define LEASE_MOST_MS 1000
+#define STOP_MS	      50
+
+struct recorder {
+	GArray *starts; /* struct start */
+	GArray *stops; /* struct waxwing_run_name */
+	GArray *verdicts; /* struct verdict */
+	uint64_t life; /* of the executor that was held last */
+	uint32_t holds;
+	bool extends; /* the last hold did */
+	uint64_t acked_upto;
+	uint32_t fenced;
+};
+
+struct start {
+	struct waxwing_run_name name;
+	uint64_t life;
+	char executor[16];
+};
+
+struct verdict {
+	uint64_t job;
+	uint32_t outcome;
+	uint32_t reason;
+	uint32_t retry_after_ms;
+};
+
+static void record_start(void *data, const struct waxwing_order_target *target,
+			 const struct waxwing_run_name *name, const char *spec, int64_t until_ms)
+{
+	struct recorder *recorder = data;
+	struct start start = { *name, target->life, "" };
+
+	(void)spec;
+	(void)until_ms;
+	g_strlcpy(start.executor, target->id, sizeof(start.executor));
+	g_array_append_val(recorder->starts, start);
+}
+
+static void record_stop(void *data, const struct waxwing_order_target *target,
+			const struct waxwing_run_name *name)
+{
+	(void)target;
+	g_array_append_val(((struct recorder *)data)->stops, *name);
+}
+
+static void record_hold(void *data, const struct waxwing_order_target *target, int64_t until_ms,
+			uint64_t acked_upto, uint32_t wait_ms)
+{
+	struct recorder *recorder = data;
+
+	(void)wait_ms;
+	recorder->life = target->life;
+	recorder->holds++;
+	recorder->extends = until_ms != 0;
+	recorder->acked_upto = acked_upto;
+}
+
+static void record_verdict(void *data, uint64_t issuer, const Waxwing__JobVerdict *verdict)
+{
+	struct verdict row = { verdict->job, verdict->outcome, verdict->reason,
+			       verdict->retry_after_ms };
+
+	(void)issuer;
+	g_array_append_val(((struct recorder *)data)->verdicts, row);
+}
+
+static void record_fenced(void *data, const char *executor)
+{
+	(void)executor;
+	((struct recorder *)data)->fenced++;
+}
+
+static const struct waxwing_cell_ops recording_ops = {
+	.start = record_start,
+	.stop = record_stop,
+	.hold = record_hold,
+	.verdict = record_verdict,
+	.fenced = record_fenced,
+};
+
+struct fixture {
+	struct recorder recorder;
+	struct waxwing_cell *cell;
+	int64_t now_ms;
+	int64_t born_ms; /* told by holds */
+};
+
+static void set_up(struct fixture *fixture, bool took_over)
+{
+	struct waxwing_cell_options options = {
+		.ops = &recording_ops,
+		.data = &fixture->recorder,
+		.name = "cell",
+		.fencing_token = 7,
+		.lease_most_ms = LEASE_MOST_MS,
+		.stop_ms = STOP_MS,
+		.far_factor = 1,
+		.took_over = took_over,
+	};
+
+	*fixture = (struct fixture){ .now_ms = 1000 };
+	fixture->recorder.starts = g_array_new(FALSE, FALSE, sizeof(struct start));
+	fixture->recorder.stops = g_array_new(FALSE, FALSE, sizeof(struct waxwing_run_name));
+	fixture->recorder.verdicts = g_array_new(FALSE, FALSE, sizeof(struct verdict));
+	fixture->cell = waxwing_cell_create(fixture->now_ms, &options);
+}
+
+static void tear_down(struct fixture *fixture)
+{
+	waxwing_cell_destroy(fixture->cell);
+	g_array_free(fixture->recorder.starts, TRUE);
+	g_array_free(fixture->recorder.stops, TRUE);
+	g_array_free(fixture->recorder.verdicts, TRUE);
+}
+
+static void run(struct fixture *fixture, int64_t ms)
+{
+	for (int64_t passed = 0; passed < ms; passed += 5) {
+		fixture->now_ms += 5;
+		waxwing_cell_run(fixture->cell, fixture->now_ms);
+	}
+}
+
+static void add_executor(struct fixture *fixture, const char *id, uint32_t cpu_milli, int64_t born)
+{
+	static const char *const labels[] = { "kind", "rack", NULL };
+	struct waxwing_executor_entry entry = {
+		.id = id,
+		.address = "10.0.0.1:80",
+		.service = "service",
+		.zone = "zone",
+		.kind = "kind",
+		.rack = "rack",
+		.labels = labels,
+		.capacity = { cpu_milli, 65536, 0 },
+		.born_ms = born,
+	};
+
+	waxwing_cell_set_executor(fixture->cell, fixture->now_ms, &entry);
+}
+
+/* Answers the hold of an executor with what runs and what has ended there. */
+static void answer_hold(struct fixture *fixture, uint64_t life,
+			const struct waxwing_running_row *running, size_t running_count,
+			const struct waxwing_ended_row *ended, size_t ended_count)
+{
+	struct waxwing_hold_answer answer = {
+		.end = WAXWING_HOLD_ANSWERED,
+		.clock_ms = 500000 + fixture->now_ms,
+		.born_ms = fixture->born_ms,
+		.running = running,
+		.running_count = running_count,
+		.ended = ended,
+		.ended_count = ended_count,
+	};
+
+	waxwing_cell_hold_answered(fixture->cell, fixture->now_ms, life, &answer);
+}
+
+/* An executor that has answered under the owner's token. */
+static uint64_t ready_executor(struct fixture *fixture, const char *id, uint32_t cpu_milli)
+{
+	uint64_t life;
+
+	add_executor(fixture, id, cpu_milli, 0);
+	waxwing_cell_run(fixture->cell, fixture->now_ms);
+	life = fixture->recorder.life;
+	answer_hold(fixture, life, NULL, 0, NULL, 0);
+	return life;
+}
+
+static void offer(struct fixture *fixture, uint64_t id, uint32_t count, uint32_t cpu_milli,
+		  uint32_t estimated_ms, bool running_before)
+{
+	Waxwing__Job job = WAXWING__JOB__INIT;
+	Waxwing__JobStep step = WAXWING__JOB_STEP__INIT;
+	Waxwing__JobStep *steps[] = { &step };
+	Waxwing__JobOffer made = WAXWING__JOB_OFFER__INIT;
+	uint8_t packed[256];
+	size_t len;
+
+	job.id = id;
+	job.queue = "queue";
+	job.service = "service";
+	job.spec = "spec";
+	job.n_steps = 1;
+	job.steps = steps;
+	job.max_attempts = 3;
+	job.stretch_milli = 1600;
+	job.allowance_ms = 60;
+	job.patience_ms = 5000;
+	step.count = count;
+	step.has_cpu_milli = true;
+	step.cpu_milli = cpu_milli;
+	step.has_estimated_ms = true;
+	step.estimated_ms = estimated_ms;
+	made.job = &job;
+	made.has_running_before = true;
+	made.running_before = running_before;
+	len = waxwing__job_offer__pack(&made, packed);
+	waxwing_cell_offer(fixture->cell, fixture->now_ms, WAXWING_ISSUER_SELF,
+			   waxwing__job_offer__unpack(NULL, len, packed));
+}
+
+static struct start *start_at(struct fixture *fixture, guint index)
+{
+	g_assert_cmpuint(index, <, fixture->recorder.starts->len);
+	return &g_array_index(fixture->recorder.starts, struct start, index);
+}
+
+static struct verdict *verdict_at(struct fixture *fixture, guint index)
+{
+	g_assert_cmpuint(index, <, fixture->recorder.verdicts->len);
+	return &g_array_index(fixture->recorder.verdicts, struct verdict, index);
+}
+
+static void started(struct fixture *fixture, guint index)
+{
+	struct start *start = start_at(fixture, index);
+
+	waxwing_cell_start_answered(fixture->cell, fixture->now_ms, start->life, &start->name,
+				    WAXWING_START_RUNS, 0);
+}
+
+/* Never over an executor's capacity; a hold follows the first start at once. */
+static void test_capacity(void)
+{
+	struct fixture fixture;
+	uint64_t life;
+	uint32_t holds;
+	struct waxwing_ended_row ended = { .number = 1, .end = WAXWING_RUN_DONE };
+
+	set_up(&fixture, false);
+	life = ready_executor(&fixture, "a", 16000);
+	holds = fixture.recorder.holds;
+	offer(&fixture, 1, 4, 7000, 100, false);
+	run(&fixture, 50);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 2);
+	g_assert_cmpuint(fixture.recorder.holds, ==, holds + 1);
+	started(&fixture, 0);
+	started(&fixture, 1);
+	ended.name = start_at(&fixture, 0)->name;
+	answer_hold(&fixture, life, NULL, 0, &ended, 1);
+	run(&fixture, 5);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 3);
+	g_assert_cmpuint(fixture.recorder.acked_upto, ==, 1);
+	tear_down(&fixture);
+}
+
+/* Runs that are being stopped count as out when their job is offered again. */
+static void test_offered_while_stopped(void)
+{
+	struct fixture fixture;
+	struct waxwing_running_row running = { { 9, 0, 0, 0, 3 }, 10 };
+	struct waxwing_ended_row ended = { 1, running.name, WAXWING_RUN_STOPPED };
+	uint64_t life;
+
+	set_up(&fixture, true);
+	add_executor(&fixture, "a", 16000, 0);
+	add_executor(&fixture, "b", 16000, 0);
+	waxwing_cell_run(fixture.cell, fixture.now_ms);
+	life = fixture.recorder.life;
+	answer_hold(&fixture, life, &running, 1, NULL, 0);
+	answer_hold(&fixture, life - 1, NULL, 0, NULL, 0);
+	for (int i = 0; !fixture.recorder.stops->len && i < 200; i++) {
+		answer_hold(&fixture, life, &running, 1, NULL, 0);
+		run(&fixture, 10);
+	}
+	g_assert_cmpuint(fixture.recorder.stops->len, ==, 1);
+	offer(&fixture, 9, 1, 6000, 100, true);
+	run(&fixture, 20);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 0);
+	answer_hold(&fixture, life, NULL, 0, &ended, 1);
+	run(&fixture, 20);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 1);
+	g_assert_cmpuint(start_at(&fixture, 0)->name.run, >, 3);
+	tear_down(&fixture);
+}
+
+/* What a former owner started goes on, and its end counts. */
+static void test_adopts(void)
+{
+	struct fixture fixture;
+	struct waxwing_running_row running = { { 9, 0, 0, 0, 1 }, 10 };
+	struct waxwing_ended_row ended = { 1, running.name, WAXWING_RUN_DONE };
+
+	set_up(&fixture, true);
+	add_executor(&fixture, "a", 16000, 0);
+	waxwing_cell_run(fixture.cell, fixture.now_ms);
+	answer_hold(&fixture, fixture.recorder.life, &running, 1, NULL, 0);
+	offer(&fixture, 9, 1, 6000, 100, true);
+	run(&fixture, 20);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 0);
+	answer_hold(&fixture, fixture.recorder.life, NULL, 0, &ended, 1);
+	g_assert_cmpuint(verdict_at(&fixture, 0)->outcome, ==, WAXWING_JOB_COMPLETED);
+	g_assert_cmpuint(fixture.recorder.stops->len, ==, 0);
+	tear_down(&fixture);
+}
+
+/* An executor that answers nothing keeps its tasks until every lease given there has run out. */
+static void test_silent_executor(void)
+{
+	struct fixture fixture;
+	struct waxwing_hold_answer silence = { .end = WAXWING_HOLD_NO_ANSWER };
+	uint64_t life;
+
+	set_up(&fixture, false);
+	life = ready_executor(&fixture, "a", 8000);
+	offer(&fixture, 1, 1, 6000, 3000, false);
+	run(&fixture, 10);
+	started(&fixture, 0);
+	ready_executor(&fixture, "b", 8000);
+	waxwing_cell_hold_answered(fixture.cell, fixture.now_ms, life, &silence);
+	/* its clock may be 2% slow */
+	for (int ms = 0; ms < 1000; ms += 50) {
+		run(&fixture, 50);
+		waxwing_cell_hold_answered(fixture.cell, fixture.now_ms, life, &silence);
+		g_assert_false(fixture.recorder.extends);
+		g_assert_cmpuint(fixture.recorder.starts->len, ==, 1);
+	}
+	run(&fixture, 400);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 2);
+	g_assert_cmpstr(start_at(&fixture, 1)->executor, ==, "b");
+	g_assert_cmpuint(start_at(&fixture, 1)->name.run, ==, 2);
+	tear_down(&fixture);
+}
+
+/* A start without an answer is stopped; its task waits until the run cannot come any more. */
+static void test_start_unanswered(void)
+{
+	struct fixture fixture;
+	struct start *first;
+	uint64_t life;
+
+	set_up(&fixture, false);
+	life = ready_executor(&fixture, "a", 8000);
+	offer(&fixture, 1, 1, 6000, 1000, false);
+	run(&fixture, 10);
+	first = start_at(&fixture, 0);
+	ready_executor(&fixture, "b", 8000);
+	waxwing_cell_start_answered(fixture.cell, fixture.now_ms, life, &first->name,
+				    WAXWING_START_UNKNOWN, 0);
+	g_assert_cmpuint(fixture.recorder.stops->len, ==, 1);
+	run(&fixture, 100);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 1);
+	first = start_at(&fixture, 0);
+	waxwing_cell_stop_answered(fixture.cell, fixture.now_ms, life, &first->name, true);
+	answer_hold(&fixture, life, NULL, 0, NULL, 0);
+	run(&fixture, STOP_MS + 20);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 1);
+	/* a hold that was sent after the stop's time does not list the run */
+	answer_hold(&fixture, life, NULL, 0, NULL, 0);
+	run(&fixture, 20);
+	answer_hold(&fixture, life, NULL, 0, NULL, 0);
+	run(&fixture, 20);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 2);
+	tear_down(&fixture);
+}
+
+/* A restart under the same id ends all that ran there, and its ends count anew. */
+static void test_new_life(void)
+{
+	struct fixture fixture;
+	struct waxwing_running_row running = { { 2, 0, 0, 0, 1 }, 0 };
+
+	set_up(&fixture, false);
+	fixture.born_ms = 100;
+	add_executor(&fixture, "a", 16000, 100);
+	waxwing_cell_run(fixture.cell, fixture.now_ms);
+	answer_hold(&fixture, fixture.recorder.life, NULL, 0, NULL, 0);
+	offer(&fixture, 1, 1, 6000, 3000, false);
+	run(&fixture, 10);
+	started(&fixture, 0);
+	fixture.born_ms = 200;
+	add_executor(&fixture, "a", 16000, 200);
+	/* started on the new life before that is known: it is not lost with the former */
+	offer(&fixture, 2, 1, 6000, 3000, false);
+	run(&fixture, 10);
+	started(&fixture, 1);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 2);
+	run(&fixture, 10);
+	answer_hold(&fixture, fixture.recorder.life, &running, 1, NULL, 0);
+	run(&fixture, 10);
+	answer_hold(&fixture, fixture.recorder.life, &running, 1, NULL, 0);
+	run(&fixture, 10);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 3);
+	g_assert_cmpuint(start_at(&fixture, 2)->name.job, ==, 1);
+	g_assert_cmpuint(start_at(&fixture, 2)->name.run, ==, 2);
+	g_assert_cmpuint(fixture.recorder.acked_upto, ==, 0);
+	tear_down(&fixture);
+}
+
+/* A job that cannot end in time is refused at once, with a time to come back; others are not held up. */
+static void test_refuses_hopeless(void)
+{
+	struct fixture fixture;
+	uint32_t refused = 0;
+
+	set_up(&fixture, false);
+	ready_executor(&fixture, "a", 16000);
+	for (uint64_t id = 1; id <= 40; id++)
+		offer(&fixture, id, 4, 7000, 300, false);
+	for (guint i = 0; i < fixture.recorder.verdicts->len; i++) {
+		g_assert_cmpuint(verdict_at(&fixture, i)->outcome, ==, WAXWING_JOB_REFUSED);
+		g_assert_cmpuint(verdict_at(&fixture, i)->reason, ==, WAXWING_ERROR_OVERLOAD);
+		g_assert_cmpuint(verdict_at(&fixture, i)->retry_after_ms, >, 0);
+		refused++;
+	}
+	g_assert_cmpuint(refused, >, 20);
+	g_assert_cmpuint(refused, <, 40);
+	tear_down(&fixture);
+}
+
+static void test_never_fits(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture, false);
+	ready_executor(&fixture, "a", 16000);
+	offer(&fixture, 1, 1, 17000, 100, false);
+	g_assert_cmpuint(verdict_at(&fixture, 0)->outcome, ==, WAXWING_JOB_REFUSED);
+	g_assert_cmpuint(verdict_at(&fixture, 0)->reason, ==, WAXWING_ERROR_NO_UPSTREAM);
+	tear_down(&fixture);
+}
+
+static void test_fenced(void)
+{
+	struct fixture fixture;
+	struct waxwing_hold_answer fence = { .end = WAXWING_HOLD_FENCED };
+
+	set_up(&fixture, false);
+	add_executor(&fixture, "a", 16000, 0);
+	waxwing_cell_run(fixture.cell, fixture.now_ms);
+	waxwing_cell_hold_answered(fixture.cell, fixture.now_ms, fixture.recorder.life, &fence);
+	g_assert_cmpuint(fixture.recorder.fenced, ==, 1);
+	tear_down(&fixture);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/cell/capacity", test_capacity);
+	g_test_add_func("/cell/offered_while_stopped", test_offered_while_stopped);
+	g_test_add_func("/cell/adopts", test_adopts);
+	g_test_add_func("/cell/silent_executor", test_silent_executor);
+	g_test_add_func("/cell/start_unanswered", test_start_unanswered);
+	g_test_add_func("/cell/new_life", test_new_life);
+	g_test_add_func("/cell/refuses_hopeless", test_refuses_hopeless);
+	g_test_add_func("/cell/never_fits", test_never_fits);
+	g_test_add_func("/cell/fenced", test_fenced);
+	return g_test_run();
+}
