--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -17,6 +17,8 @@
 #define VERDICT_KEPT_MS 6000
 /* Least that a caller is told to wait before it comes back. */
 #define RETRY_AFTER_LEAST_MS 200
+/* A late job still goes before others when no more than this share of its tasks is undone. */
+#define NEARLY_DONE_SHARE 0.25
 /* Runs of a former owner's orders wait this long for their jobs to be offered again. */
 #define ORPHAN_KEPT_MS 300
 
@@ -356,6 +358,7 @@
 		job->steps[i].tasks = g_new0(struct task, job->spec->steps[i]->count);
 		job->undone += job->spec->steps[i]->count;
 	}
+	job->tasks = job->undone;
 	job->queue->waiting_jobs++;
 	g_hash_table_insert(cell->jobs, &job->id, job);
 	open_steps(cell, job);
@@ -477,6 +480,21 @@
 	g_list_free(jobs);
 }
 
+/* Little work that completes a job is worth more than as much of a job that has hardly begun. */
+static bool is_nearly_done(const struct cell_job *job)
+{
+	return job->undone <= NEARLY_DONE_SHARE * job->tasks;
+}
+
+static void set_late(struct cell_job *job, bool late)
+{
+	if (job->late == late)
+		return;
+	job->late = late;
+	if (job->place)
+		g_sequence_sort_changed(job->place, compare_jobs, NULL);
+}
+
 static void sweep_job(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms)
 {
 	if (job->ended)
@@ -487,11 +505,7 @@
 				      RETRY_AFTER_LEAST_MS));
 		return;
 	}
-	if (!job->late && now_ms > job->due_ms) {
-		job->late = true;
-		if (job->place)
-			g_sequence_sort_changed(job->place, compare_jobs, NULL);
-	}
+	set_late(job, now_ms > job->due_ms && !is_nearly_done(job));
 }
 
 static void sweep_runs(struct waxwing_cell *cell, int64_t now_ms)
@@ -505,6 +519,9 @@
 			bool orphan = !run->job && run->state == RUN_RUNNING &&
 				      now_ms - run->seen_ms >= ORPHAN_KEPT_MS;
 
+			if (run->job && run->stopped_by_ms && now_ms >= run->stopped_by_ms)
+				run_release_task(cell, run);
+
 			if (again || orphan)
 				run_stop(cell, run, now_ms);
 		}
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -62,6 +62,7 @@
 	uint32_t ready; /* tasks in TASK_READY */
 	uint32_t out;
 	uint32_t undone;
+	uint32_t tasks; /* of all steps */
 	bool started;
 	bool late; /* past its due time: others come first */
 	bool ended; /* its verdict is out; runs are being stopped */
@@ -125,6 +126,7 @@
 	enum run_state state;
 	int64_t started_ms; /* when its start was answered, or sent */
 	int64_t stop_next_ms;
+	int64_t stopped_by_ms; /* its stop was answered: it does not run after this; 0: it was not */
 	int64_t seen_ms; /* foreign: first seen */
 	uint32_t percent;
 	int64_t percent_ms; /* when percent last rose */
@@ -186,6 +188,7 @@
 struct cell_run *run_find(const struct executor *executor, const struct waxwing_run_name *name);
 void run_adopt(struct waxwing_cell *cell, struct cell_run *run, struct cell_job *job);
 void run_stop(struct waxwing_cell *cell, struct cell_run *run, int64_t now_ms);
+void run_release_task(struct waxwing_cell *cell, struct cell_run *run);
 void run_free(struct waxwing_cell *cell, struct cell_run *run);
 void run_ended(struct waxwing_cell *cell, struct cell_run *run, enum waxwing_run_end end,
 	       int64_t now_ms);
--- a/src/cell/cell_run.c
+++ b/src/cell/cell_run.c
@@ -264,5 +264,20 @@
 	 * of what ran; what never ran is missed by the first hold sent after the stop's time.
 	 */
 	run->started_ms = now_ms + cell->options.stop_ms;
+	run->stopped_by_ms = now_ms + cell->options.stop_ms + CERTAINTY_MS;
 	executor->hold_wanted = true;
 }
+
+/* The task may run elsewhere now; the run keeps its room until its executor's list shows its end. */
+void run_release_task(struct waxwing_cell *cell, struct cell_run *run)
+{
+	struct cell_job *job = run->job;
+
+	run_task(run)->run = NULL;
+	run->job = NULL;
+	job->out--;
+	if (!job->ended)
+		job_task_ready(cell, job, run->name.step, run->name.index);
+	else if (!job->out)
+		job_free(cell, job);
+}
--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -5,7 +5,7 @@
 #include "log.h"
 
 /* Time that an executor's answer may take beside what it was asked to wait. */
-#define START_TIMEOUT_MS 350
+#define START_TIMEOUT_MS 200
 #define STOP_TIMEOUT_MS	 350
 #define HOLD_TIMEOUT_MS	 350
 /* An offer that was longer on its way is not taken: its sender may have given it up by now. */
