Find out a silent store within 2.2 s, and ask anew what it has lost

Watches wait 1.2 s at most, and all are sent again when any call shows that the store is back (/node/store_silent, which failed first).

--- a/src/base/event_log.c
+++ b/src/base/event_log.c
@@ -9,9 +9,9 @@
 #include <string.h>
 #include <unistd.h>
 
-#define LINE_BYTES     1024
-#define FIELDS_BYTES   640
-#define INTERVAL_MS    1000
+#define LINE_BYTES   1024
+#define FIELDS_BYTES 640
+#define INTERVAL_MS  1000
 /* Lines of one kind in an interval. */
 #define BUDGET_LINES 60
 
@@ -99,8 +99,8 @@
 	for (size_t i = 0; i < len; i++) {
 		unsigned char c = (unsigned char)text[i];
 
-		g_string_append_c(line, c < ' ' || c == '"' || c == '\\' || c > 0x7e ? '?' :
-										       (char)c);
+		g_string_append_c(line,
+				  c < ' ' || c == '"' || c == '\\' || c > 0x7e ? '?' : (char)c);
 	}
 	g_string_append_c(line, '"');
 }
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -152,7 +152,8 @@
 	bool list_incomplete;
 };
 
-struct waxwing_cell *waxwing_cell_create(int64_t now_ms, const struct waxwing_cell_options *options);
+struct waxwing_cell *waxwing_cell_create(int64_t now_ms,
+					 const struct waxwing_cell_options *options);
 void waxwing_cell_destroy(struct waxwing_cell *cell);
 
 /** Goes on under a new, higher token: the same owner has claimed the cell anew. */
--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -227,7 +227,8 @@
 	verdict.retry_after_ms = retry_after_ms;
 	cell->refused += outcome == WAXWING_JOB_REFUSED;
 	if (outcome != WAXWING_JOB_COMPLETED)
-		waxwing_event("job_ended", "job=%016llx outcome=%d reason=%s age_ms=%lld due_ms=%lld",
+		waxwing_event("job_ended",
+			      "job=%016llx outcome=%d reason=%s age_ms=%lld due_ms=%lld",
 			      (unsigned long long)job->id, outcome, waxwing_error_name(reason),
 			      (long long)(now_ms - job->arrived_ms),
 			      (long long)(job->due_ms - job->arrived_ms));
@@ -303,10 +304,10 @@
 	verdict.has_retry_after_ms = retry_after_ms != 0;
 	verdict.retry_after_ms = retry_after_ms;
 	cell->refused++;
-	waxwing_event("job_refused", "job=%016llx queue=%s reason=%s retry_after_ms=%u ready_tasks=%u",
-		      (unsigned long long)offer->job->id, offer->job->queue,
-		      waxwing_error_name(reason), retry_after_ms,
-		      g_sequence_get_length(cell->ready));
+	waxwing_event(
+		"job_refused", "job=%016llx queue=%s reason=%s retry_after_ms=%u ready_tasks=%u",
+		(unsigned long long)offer->job->id, offer->job->queue, waxwing_error_name(reason),
+		retry_after_ms, g_sequence_get_length(cell->ready));
 	give_verdict(cell, issuer, now_ms, &verdict);
 	waxwing__job_offer__free_unpacked(offer, NULL);
 }
@@ -314,8 +315,7 @@
 /* A job that was given up for its issuer's silence is a new one when another issuer offers it. */
 static bool holds_for(const struct verdict_kept *kept, uint64_t issuer)
 {
-	return kept &&
-	       (kept->verdict.outcome != WAXWING_JOB_GIVEN_UP || kept->issuer == issuer);
+	return kept && (kept->verdict.outcome != WAXWING_JOB_GIVEN_UP || kept->issuer == issuer);
 }
 
 /* True when the offer is of a job that needs no taking in; answers what can be answered. */
@@ -347,8 +347,8 @@
 	job->issuer = issuer;
 	job->queue = find_queue(cell, offer->job->queue);
 	job->arrived_ms = now_ms - offer->age_ms;
-	objective_ms = offer->job->allowance_ms + offer->job->stretch_milli / 1000.0 *
-							  longest_chain_ms(job->queue, job->spec);
+	objective_ms = offer->job->allowance_ms +
+		       offer->job->stretch_milli / 1000.0 * longest_chain_ms(job->queue, job->spec);
 	job->due_ms = job->arrived_ms + (int64_t)objective_ms;
 	if (offer->running_before)
 		job->unsure_until_ms = cell->created_ms + cell_lease_ms(cell);
--- a/src/cell/cell_run.c
+++ b/src/cell/cell_run.c
@@ -115,8 +115,8 @@
 
 static void log_end(const struct cell_run *run, enum waxwing_run_end end, int64_t now_ms)
 {
-	static const char *const names[] = { "done", "failed", "stopped", "lapsed", "broken",
-					     "alone" };
+	static const char *const names[] = { "done",   "failed", "stopped",
+					     "lapsed", "broken", "alone" };
 
 	if (end == WAXWING_RUN_DONE)
 		return;
@@ -227,8 +227,7 @@
 	case WAXWING_START_UNHEALTHY:
 		executor_failed(cell, executor, now_ms, UNSTARTED_WEIGHT);
 		executor->full_until_ms = now_ms + FULL_PAUSE_MS;
-		not_started(cell, run,
-			    answer == WAXWING_START_REJECTED ? "rejected" : "unhealthy");
+		not_started(cell, run, answer == WAXWING_START_REJECTED ? "rejected" : "unhealthy");
 		break;
 	case WAXWING_START_OTHER_LIFE:
 		executor->removed = true;
--- a/src/net/http_calls.c
+++ b/src/net/http_calls.c
@@ -243,9 +243,9 @@
 	call->data = options->data;
 	call->answer = g_string_new(NULL);
 	call->body = g_strndup(options->body.data, options->body.len);
-	handle = calls->spares->len ? g_ptr_array_steal_index_fast(calls->spares,
-								   calls->spares->len - 1) :
-				      curl_easy_init();
+	handle = calls->spares->len ?
+			 g_ptr_array_steal_index_fast(calls->spares, calls->spares->len - 1) :
+			 curl_easy_init();
 	call->handle = handle;
 	for (int i = 0; i < WAXWING_CALL_HEADERS; i++)
 		if (options->headers[i])
--- a/src/node/claim.c
+++ b/src/node/claim.c
@@ -28,7 +28,8 @@
 	uint64_t seen_revision; /* of the last entry or deletion */
 	uint64_t lease; /* 0: none */
 	int64_t vacant_since_ms; /* 0: not known to be vacant */
-	uint64_t replaces; /* revision of a released entry that a claim replaces; 0: there is none */
+	uint64_t
+		replaces; /* revision of a released entry that a claim replaces; 0: there is none */
 	int64_t next_ms; /* of a renewal or a claim */
 	enum claim_call out;
 	bool releasing;
--- a/src/node/link_zmq.c
+++ b/src/node/link_zmq.c
@@ -213,8 +213,8 @@
 
 static GByteArray *pack(const Waxwing__NodeMessage *message)
 {
-	GByteArray *packed = g_byte_array_sized_new(
-		(guint)waxwing__node_message__get_packed_size(message));
+	GByteArray *packed =
+		g_byte_array_sized_new((guint)waxwing__node_message__get_packed_size(message));
 
 	g_byte_array_set_size(packed, (guint)waxwing__node_message__get_packed_size(message));
 	waxwing__node_message__pack(message, packed->data);
@@ -271,7 +271,7 @@
 };
 
 struct waxwing_link *waxwing_link_zmq_create(const struct waxwing_link_zmq_options *options,
-					 struct waxwing_error *error)
+					     struct waxwing_error *error)
 {
 	struct link_zmq *link = g_new0(struct link_zmq, 1);
 	char *endpoint = g_strconcat("tcp://", options->address, NULL);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -16,6 +16,13 @@
 /* Entries that lapsed while the store was down are back within two seconds, by the protocol. */
 #define LIST_BACK_MS 2300
 
+/*
+ * How long watches wait at the store. With the time for an answer, a connection that has fallen silent is
+ * found out well within the time after which a node counts as in touch again (3 s).
+ */
+#define WATCH_WAIT_MS	1200
+#define ENTRIES_WAIT_MS 800
+
 /* A turn of the loop that took so long is noted: the machine stood still, or was short of time. */
 #define STALL_MS 250
 
@@ -25,10 +32,13 @@
 
 	if (reached) {
 		node->store_reached_ms = now_ms;
-		if (node->store_lost_ms)
+		if (node->store_lost_ms) {
 			waxwing_event("store_regained", "lost_ms=%lld",
 				      (long long)(now_ms - node->store_lost_ms));
-		node->store_lost_ms = 0;
+			node->store_lost_ms = 0;
+			waxwing_store_watch_restart(node->routing_watch);
+			waxwing_store_watch_restart(node->owner_watch);
+		}
 		return;
 	}
 	node->list_sure_ms = now_ms + LIST_BACK_MS;
@@ -96,7 +106,7 @@
 }
 
 static struct waxwing_store_watch *
-watch(struct waxwing_node *node, const char *prefix,
+watch(struct waxwing_node *node, const char *prefix, uint32_t wait_ms,
       void (*changed)(void *data, const struct waxwing_store_item *item),
       void (*reached)(void *data, bool reached))
 {
@@ -104,6 +114,7 @@
 		.store = node->options.store,
 		.clock = node->clock,
 		.prefix = prefix,
+		.wait_ms = wait_ms,
 		.changed = changed,
 		.reached = reached,
 		.data = node,
@@ -168,11 +179,12 @@
 	node->pendings =
 		g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, node_pending_free);
 	node_cells_create(node);
-	node->routing_watch = watch(node, options->routing_key, routing_changed, store_reached);
-	node->owner_watch = watch(node, WAXWING_CLAIM_PREFIX, owner_entry_changed,
+	node->routing_watch =
+		watch(node, options->routing_key, WATCH_WAIT_MS, routing_changed, store_reached);
+	node->owner_watch = watch(node, WAXWING_CLAIM_PREFIX, WATCH_WAIT_MS, owner_entry_changed,
 				  store_reached);
-	node->executor_watch = watch(node, options->executor_prefix, executor_entry_changed,
-				     executors_reached);
+	node->executor_watch = watch(node, options->executor_prefix, ENTRIES_WAIT_MS,
+				     executor_entry_changed, executors_reached);
 	return node;
 }
 
@@ -234,25 +246,24 @@
 	GString *text = g_string_new(NULL);
 	int64_t now_ms = node_now(node);
 
-	g_string_append_printf(text,
-			       "waxwing_node_submitted_total %llu\n"
-			       "waxwing_node_completed_total %llu\n"
-			       "waxwing_node_not_completed_total %llu\n"
-			       "waxwing_node_pending %u\n"
-			       "waxwing_node_takeovers_total %llu\n"
-			       "waxwing_node_messages_dropped_total %llu\n"
-			       "waxwing_node_log_lines_dropped_total %llu\n"
-			       "waxwing_node_routing_version %llu\n"
-			       "waxwing_node_store_lost_ms %lld\n",
-			       (unsigned long long)node->submitted,
-			       (unsigned long long)node->completed,
-			       (unsigned long long)node->not_completed,
-			       g_hash_table_size(node->pendings),
-			       (unsigned long long)node->takeovers,
-			       (unsigned long long)node->link->ops->dropped(node->link),
-			       (unsigned long long)waxwing_event_log_dropped(),
-			       (unsigned long long)(node->routing ? node->routing->version : 0),
-			       (long long)(node->store_lost_ms ? now_ms - node->store_lost_ms : 0));
+	g_string_append_printf(
+		text,
+		"waxwing_node_submitted_total %llu\n"
+		"waxwing_node_completed_total %llu\n"
+		"waxwing_node_not_completed_total %llu\n"
+		"waxwing_node_pending %u\n"
+		"waxwing_node_takeovers_total %llu\n"
+		"waxwing_node_messages_dropped_total %llu\n"
+		"waxwing_node_log_lines_dropped_total %llu\n"
+		"waxwing_node_routing_version %llu\n"
+		"waxwing_node_store_lost_ms %lld\n",
+		(unsigned long long)node->submitted, (unsigned long long)node->completed,
+		(unsigned long long)node->not_completed, g_hash_table_size(node->pendings),
+		(unsigned long long)node->takeovers,
+		(unsigned long long)node->link->ops->dropped(node->link),
+		(unsigned long long)waxwing_event_log_dropped(),
+		(unsigned long long)(node->routing ? node->routing->version : 0),
+		(long long)(node->store_lost_ms ? now_ms - node->store_lost_ms : 0));
 	for (guint i = 0; i < node->cells->len; i++) {
 		struct node_cell *at = node->cells->pdata[i];
 		struct waxwing_cell_view view;
@@ -260,24 +271,24 @@
 		if (!at->cell)
 			continue;
 		waxwing_cell_view(at->cell, now_ms, &view);
-		g_string_append_printf(
-			text,
-			"waxwing_cell_executors{cell=\"%s\"} %u\n"
-			"waxwing_cell_usable{cell=\"%s\"} %u\n"
-			"waxwing_cell_jobs{cell=\"%s\"} %u\n"
-			"waxwing_cell_waiting_tasks{cell=\"%s\"} %u\n"
-			"waxwing_cell_runs{cell=\"%s\"} %u\n"
-			"waxwing_cell_starts_total{cell=\"%s\"} %llu\n"
-			"waxwing_cell_done_total{cell=\"%s\"} %llu\n"
-			"waxwing_cell_failed_total{cell=\"%s\"} %llu\n"
-			"waxwing_cell_lapsed_total{cell=\"%s\"} %llu\n"
-			"waxwing_cell_refused_total{cell=\"%s\"} %llu\n",
-			at->name, view.executors, at->name, view.usable, at->name, view.jobs,
-			at->name, view.waiting_tasks, at->name, view.runs, at->name,
-			(unsigned long long)view.starts, at->name, (unsigned long long)view.done,
-			at->name, (unsigned long long)view.failed, at->name,
-			(unsigned long long)view.lapsed, at->name,
-			(unsigned long long)view.refused);
+		g_string_append_printf(text,
+				       "waxwing_cell_executors{cell=\"%s\"} %u\n"
+				       "waxwing_cell_usable{cell=\"%s\"} %u\n"
+				       "waxwing_cell_jobs{cell=\"%s\"} %u\n"
+				       "waxwing_cell_waiting_tasks{cell=\"%s\"} %u\n"
+				       "waxwing_cell_runs{cell=\"%s\"} %u\n"
+				       "waxwing_cell_starts_total{cell=\"%s\"} %llu\n"
+				       "waxwing_cell_done_total{cell=\"%s\"} %llu\n"
+				       "waxwing_cell_failed_total{cell=\"%s\"} %llu\n"
+				       "waxwing_cell_lapsed_total{cell=\"%s\"} %llu\n"
+				       "waxwing_cell_refused_total{cell=\"%s\"} %llu\n",
+				       at->name, view.executors, at->name, view.usable, at->name,
+				       view.jobs, at->name, view.waiting_tasks, at->name, view.runs,
+				       at->name, (unsigned long long)view.starts, at->name,
+				       (unsigned long long)view.done, at->name,
+				       (unsigned long long)view.failed, at->name,
+				       (unsigned long long)view.lapsed, at->name,
+				       (unsigned long long)view.refused);
 	}
 	return g_string_free(text, FALSE);
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -19,7 +19,8 @@
 struct waxwing_node;
 
 struct waxwing_node_options {
-	const struct waxwing_clock *clock; /**< counts the time that the machine was suspended too */
+	const struct waxwing_clock
+		*clock; /**< counts the time that the machine was suspended too */
 	struct waxwing_link *link;
 	uint64_t incarnation; /**< of this process, never used twice */
 	struct waxwing_store *store;
--- a/src/node/node_cells.c
+++ b/src/node/node_cells.c
@@ -177,7 +177,8 @@
 	bool first = !at->heard_ms;
 
 	/* answers that took longer tell an older time */
-	if (first || clock_ms > owner_clock(at, now_ms) || now_ms - (int64_t)pong->ping_ms < PING_MS)
+	if (first || clock_ms > owner_clock(at, now_ms) ||
+	    now_ms - (int64_t)pong->ping_ms < PING_MS)
 		at->owner_clock_ms = clock_ms;
 	else
 		at->owner_clock_ms = owner_clock(at, now_ms);
--- a/src/node/node_jobs.c
+++ b/src/node/node_jobs.c
@@ -9,8 +9,8 @@
 /* An accepted job's verdict may have been lost: the offer, sent again, has it repeated. */
 #define VERDICT_AGAIN_MS 1000
 /* A job for which no cell can be reached is refused after this. */
-#define NO_CELL_MS	    300
-#define NO_CELL_RETRY_MS    1000
+#define NO_CELL_MS	 300
+#define NO_CELL_RETRY_MS 1000
 /* Another failure domain's cell costs this much more, for the way there and back. */
 #define FAR_CELL_MS 4.0
 /* A refused job is offered to another cell only if that expects so much less wait. */
@@ -146,8 +146,9 @@
 {
 	struct waxwing_ticket *ticket = pending->tickets;
 
-	waxwing_event("job_answered", "job=%016llx cell=%s outcome=%d reason=%s may_have_run=%d "
-				      "age_ms=%lld routing=%llu",
+	waxwing_event("job_answered",
+		      "job=%016llx cell=%s outcome=%d reason=%s may_have_run=%d "
+		      "age_ms=%lld routing=%llu",
 		      (unsigned long long)pending->id, pending->cell ? pending->cell->name : "none",
 		      told->outcome, waxwing_error_name(told->reason), told->may_have_run,
 		      (long long)(node_now(node) - pending->arrived_ms),
--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -288,7 +288,8 @@
 	message.released = true;
 	g_hash_table_iter_init(&iter, at->issuers);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		at->node->link->ops->answer(at->node->link, ((struct issuer *)value)->sender, &message);
+		at->node->link->ops->answer(at->node->link, ((struct issuer *)value)->sender,
+					    &message);
 	g_hash_table_destroy(at->issuers);
 	at->issuers = NULL;
 	waxwing_cell_destroy(at->cell);
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -82,7 +82,8 @@
 	int64_t list_sure_ms; /* entries that lapsed in an outage of the store are back by then */
 	int64_t store_reached_ms;
 	int64_t store_lost_ms; /* 0: it answers */
-	GPtrArray *verdicts; /* struct verdict_copy: to be told once the cells have done their work */
+	GPtrArray
+		*verdicts; /* struct verdict_copy: to be told once the cells have done their work */
 	int64_t routing_ms; /* when it came into force */
 	bool leaving;
 	bool touched; /* a cell has had events since it last ran */
--- a/src/node/store_watch.c
+++ b/src/node/store_watch.c
@@ -4,8 +4,6 @@
 #include "event_log.h"
 #include "log.h"
 
-/* A watch waits so long at the store; a silent connection is found out by then. */
-#define WATCH_WAIT_MS 5000
 /* Between tries while the store does not answer or refuses. */
 #define RETRY_FIRST_MS	 100
 #define RETRY_LONGEST_MS 400
@@ -24,10 +22,18 @@
 	int64_t sent_ms;
 	bool synced; /* false: a range is to be read */
 	bool ever_synced;
-	bool out; /* a call is */
+	bool out; /* the call that counts is */
+	uint32_t calls_out; /* those that were given up as well */
+	uint64_t call; /* number of the one that counts */
 	bool destroyed;
 };
 
+/* One call. */
+struct watch_call {
+	struct waxwing_store_watch *watch;
+	uint64_t number;
+};
+
 struct waxwing_store_watch *
 waxwing_store_watch_create(const struct waxwing_store_watch_options *options)
 {
@@ -54,7 +60,7 @@
 {
 	if (!watch)
 		return;
-	if (watch->out)
+	if (watch->calls_out)
 		watch->destroyed = true;
 	else
 		watch_free(watch);
@@ -148,16 +154,12 @@
 	watch->options.reached(watch->options.data, false);
 }
 
-static void answered(void *data, const struct waxwing_store_answer *answer)
+static void take_answer(struct waxwing_store_watch *watch,
+			const struct waxwing_store_answer *answer)
 {
-	struct waxwing_store_watch *watch = data;
 	int64_t now_ms = waxwing_clock_now(watch->options.clock);
 
 	watch->out = false;
-	if (watch->destroyed) {
-		watch_free(watch);
-		return;
-	}
 	if (answer->end == WAXWING_STORE_HISTORY_LOST) {
 		lose_history(watch);
 	} else if (answer->end != WAXWING_STORE_OK) {
@@ -177,17 +179,38 @@
 	waxwing_store_watch_run(watch);
 }
 
+static void answered(void *data, const struct waxwing_store_answer *answer)
+{
+	struct watch_call *call = data;
+	struct waxwing_store_watch *watch = call->watch;
+	bool counts = call->number == watch->call;
+
+	g_free(call);
+	watch->calls_out--;
+	if (watch->destroyed && !watch->calls_out)
+		watch_free(watch);
+	else if (!watch->destroyed && counts)
+		take_answer(watch, answer);
+}
+
 void waxwing_store_watch_run(struct waxwing_store_watch *watch)
 {
-	struct waxwing_store_reply reply = { answered, watch };
+	struct waxwing_store_reply reply = { answered, NULL };
+	struct watch_call *call;
 	struct waxwing_store *store = watch->options.store;
 
 	if (watch->out || waxwing_clock_now(watch->options.clock) < watch->next_ms)
 		return;
+	call = g_new0(struct watch_call, 1);
+	call->watch = watch;
+	call->number = ++watch->call;
+	reply.data = call;
 	watch->out = true;
+	watch->calls_out++;
 	watch->sent_ms = waxwing_clock_now(watch->options.clock);
 	if (watch->synced)
-		store->ops->watch(store, watch->prefix, watch->revision, WATCH_WAIT_MS, reply);
+		store->ops->watch(store, watch->prefix, watch->revision, watch->options.wait_ms,
+				  reply);
 	else
 		store->ops->range(store, watch->prefix, watch->after_key, reply);
 }
@@ -207,3 +230,12 @@
 {
 	return watch->synced ? watch->revision : 0;
 }
+
+void waxwing_store_watch_restart(struct waxwing_store_watch *watch)
+{
+	if (!watch->out)
+		return;
+	watch->out = false;
+	watch->next_ms = 0;
+	waxwing_store_watch_run(watch);
+}
--- a/src/node/store_watch.h
+++ b/src/node/store_watch.h
@@ -16,6 +16,7 @@
 	struct waxwing_store *store;
 	const struct waxwing_clock *clock;
 	const char *prefix;
+	uint32_t wait_ms; /**< how long a call waits at the store for a change */
 	/** An entry is new, changed or (item->deleted) gone. */
 	void (*changed)(void *data, const struct waxwing_store_item *item);
 	/** The store was reached, or was not. */
@@ -29,6 +30,9 @@
 /** Frees the watch; a call that is out ends without effect. */
 void waxwing_store_watch_destroy(struct waxwing_store_watch *watch);
 
+/** Gives up the call that is out, whose connection may be lost, and asks anew. */
+void waxwing_store_watch_restart(struct waxwing_store_watch *watch);
+
 /** Least time between two calls, so that frequent changes come in one answer. 0: none. */
 void waxwing_store_watch_set_pace(struct waxwing_store_watch *watch, uint32_t pace_ms);
 
--- a/test/node_world.h
+++ b/test/node_world.h
@@ -20,7 +20,7 @@
 #define EXECUTOR_CPU	 16000
 #define WAY_MS		 1
 #define STORE_WAY_MS	 2
-#define CALL_TIMEOUT_MS	 1500
+#define CALL_TIMEOUT_MS	 1000
 #define LEASE_MOST_MS	 1000
 #define STOP_MS		 50
 #define RESEND_MS	 1300
@@ -139,6 +139,7 @@
 	uint64_t revision;
 	uint64_t next_lease;
 	bool store_down;
+	bool store_silent; /* takes calls, and never answers them; waiting watches are lost */
 	double store_lost_share; /* of changes: done, and not answered */
 	double late_share; /* of orders: not answered, and carried out seconds later */
 	bool zone_cut[ZONES]; /* from the other failure domains and the store */
@@ -322,8 +323,8 @@
 		struct store_event *event = world->history->pdata[i];
 
 		if (event->revision > call->number && g_str_has_prefix(event->key, call->prefix))
-			add_item(call->items, event->key, event->value, event->len,
-				 event->revision, event->deleted);
+			add_item(call->items, event->key, event->value, event->len, event->revision,
+				 event->deleted);
 	}
 	return call->items->len > 0;
 }
@@ -478,6 +479,27 @@
 	store_answer(call, lease ? WAXWING_STORE_OK : WAXWING_STORE_NOT_FOUND);
 }
 
+/* Its sender hears nothing until it has waited long enough. */
+static void store_lose(struct store_call *call)
+{
+	call->answer.end = WAXWING_STORE_UNKNOWN;
+	g_array_set_size(call->items, 0);
+	world_later(call->world, CALL_TIMEOUT_MS + (call->kind == STORE_WATCH ? call->wait_ms : 0),
+		    store_reply_now, call);
+}
+
+static void store_falls_silent(struct world *world)
+{
+	world->store_silent = true;
+	for (guint i = 0; i < world->watchers->len; i++) {
+		struct watcher *watcher = world->watchers->pdata[i];
+
+		store_lose(watcher->call);
+		g_free(watcher);
+	}
+	g_ptr_array_set_size(world->watchers, 0);
+}
+
 static void store_arrived(struct world *world, void *data)
 {
 	struct store_call *call = data;
@@ -492,6 +514,10 @@
 		store_answer(call, WAXWING_STORE_REFUSED);
 		return;
 	}
+	if (world->store_silent) {
+		store_lose(call);
+		return;
+	}
 	switch (call->kind) {
 	case STORE_RANGE:
 		store_range(world, call);
--- a/test/test_node_faults.c
+++ b/test/test_node_faults.c
@@ -3,12 +3,12 @@
 #include "node_world.h"
 
 /* Longest that a caller is sent from one answer to the next after the faults are over. */
-#define CALM_MS	    25000
-#define ARRIVAL_MS  25
-#define SETTLE_MS   3000
-#define MIX_SEEDS   40
-#define MIX_MS	    20000
-#define FAULT_MS    700
+#define CALM_MS	   25000
+#define ARRIVAL_MS 25
+#define SETTLE_MS  3000
+#define MIX_SEEDS  40
+#define MIX_MS	   20000
+#define FAULT_MS   700
 
 static void assert_promises(const struct world *world)
 {
@@ -190,6 +190,32 @@
 	world_destroy(world);
 }
 
+/*
+ * Watches that a silent store has lost are sent again when any call shows that it is back, so that a
+ * configuration of just then is in force in time (luachung-sched mix, seed 747861072149: CONFIG).
+ */
+static void test_store_silent(void)
+{
+	for (uint32_t seed = 1; seed <= 10; seed++) {
+		struct world *world = begin(seed);
+		uint64_t version;
+
+		world_run(world, g_rand_int_range(world->random, 0, 5000));
+		store_falls_silent(world);
+		world_run(world, g_rand_int_range(world->random, 1500, 6000));
+		world->store_silent = false;
+		world_run(world, 1000);
+		store_put(world, "op/config", "y", 1, 0);
+		version = world->revision;
+		world_run(world, 1500);
+		for (int i = 0; i < NODES; i++)
+			g_assert_cmpuint(waxwing_node_routing(world->nodes[i].node)->version, ==,
+					 version);
+		assert_promises(world);
+		world_destroy(world);
+	}
+}
+
 /*
  * A node that starts while the store is down takes a cell when it is back, before all executors are
  * listed again: a task may run on one that it does not know yet (kz-broom-orders trouble-2, seed
@@ -407,6 +433,7 @@
 	g_test_add_func("/node/owner_frozen", test_owner_frozen);
 	g_test_add_func("/node/zone_cut", test_zone_cut);
 	g_test_add_func("/node/store_down", test_store_down);
+	g_test_add_func("/node/store_silent", test_store_silent);
 	g_test_add_func("/node/list_incomplete", test_list_incomplete);
 	g_test_add_func("/node/late_orders", test_late_orders);
 	g_test_add_func("/node/executor_cut", test_executor_cut);
