--- a/src/node/claim.c
+++ b/src/node/claim.c
@@ -10,6 +10,8 @@
 
 /* Renewals in a lease's time: some may be lost before it ends. */
 #define RENEWALS_IN_TTL 4
+/* An owner that is heard has so long to claim its cell anew; it may be slower to hear of the loss. */
+#define GIVE_WAY_MS 900
 /* After a claim that did not come about. */
 #define CLAIM_AGAIN_MS 150
 
@@ -92,6 +94,7 @@
 {
 	claim->seen_revision = revision;
 	claim->vacant_since_ms = 0;
+	claim->owner.released = false;
 	claim->owner.orderly = claim->replaces != 0;
 	claim->replaces = 0;
 	claim->owner.known = true;
@@ -122,6 +125,7 @@
 /* The former owner has ended its orders; the entry is taken over in place. */
 static void set_released(struct waxwing_claim *claim, uint64_t revision)
 {
+	claim->owner.released = true;
 	set_vacant(claim, revision);
 	claim->replaces = revision;
 }
@@ -175,6 +179,7 @@
 		return;
 	claim->owner.self = false;
 	claim->owner.known = false;
+	claim->owner.released = true;
 	claim->lease = 0;
 	/* the successor's entry comes with the watch; without one the deletion does */
 	claim->next_ms = INT64_MAX;
@@ -301,6 +306,14 @@
 	tell(claim);
 }
 
+static bool gives_way(const struct waxwing_claim *claim)
+{
+	if (claim->owner.known || claim->owner.self || claim->owner.released)
+		return false;
+	return now(claim) - claim->vacant_since_ms < GIVE_WAY_MS &&
+	       claim->options.owner_heard(claim->options.data);
+}
+
 void waxwing_claim_run(struct waxwing_claim *claim)
 {
 	struct waxwing_store *store = claim->options.store;
@@ -312,7 +325,7 @@
 			send_release(claim);
 		return;
 	}
-	if (now(claim) < claim->next_ms)
+	if (now(claim) < claim->next_ms || gives_way(claim))
 		return;
 	if (claim->owner.known && claim->owner.self && claim->lease)
 		store->ops->keep(store, claim->lease, reply_to(claim, CALL_KEEP));
--- a/src/node/claim.h
+++ b/src/node/claim.h
@@ -18,6 +18,7 @@
 struct waxwing_cell_owner_view {
 	bool known; /**< some node's entry stands */
 	bool self;
+	bool released; /**< the last owner gives no orders any more */
 	bool orderly; /**< its predecessor had ended all orders before */
 	char address[64]; /**< IP:port for messages */
 	char node[64];
@@ -36,6 +37,8 @@
 	uint32_t delay_ms; /**< between the entry's end and this node's claim */
 	/** The cell is this node's, with a new token; or it is not any more. */
 	void (*changed)(void *data, const struct waxwing_cell_owner_view *owner);
+	/** The last owner is still heard, though its entry has gone: it may claim the cell anew first. */
+	bool (*owner_heard)(void *data);
 	void *data;
 };
 
--- a/src/node/node_cells.c
+++ b/src/node/node_cells.c
@@ -19,7 +19,10 @@
 {
 	struct node_cell *at = data;
 
-	at->heard_ms = 0;
+	/* an owner whose entry has gone goes on until it is replaced */
+	if (owner->released || owner->fencing_token != at->heard_token)
+		at->heard_ms = 0;
+	at->heard_token = owner->fencing_token;
 	at->ping_next_ms = 0;
 	if (owner->self && owner->known)
 		node_owner_begin(at, owner->fencing_token);
@@ -28,6 +31,13 @@
 	at->node->touched = true;
 }
 
+static bool owner_heard(void *data)
+{
+	const struct node_cell *at = data;
+
+	return at->heard_ms && node_now(at->node) - at->heard_ms < SILENT_MS;
+}
+
 static uint32_t claim_delay_ms(const struct waxwing_node *node, const char *cell)
 {
 	uint32_t spread = (uint32_t)(node->incarnation >> 32) % CLAIM_SPREAD_MS;
@@ -50,6 +60,7 @@
 			.ttl_ms = MAX(OWNER_TTL_MS, node->options.ttl_least_ms),
 			.delay_ms = claim_delay_ms(node, node->options.zones[i]),
 			.changed = owner_changed,
+			.owner_heard = owner_heard,
 			.data = at,
 		};
 
@@ -92,8 +103,7 @@
 {
 	if (at->cell)
 		return true;
-	return waxwing_claim_owner(at->claim)->known && at->heard_ms &&
-	       now_ms - at->heard_ms < SILENT_MS;
+	return at->heard_ms && now_ms - at->heard_ms < SILENT_MS;
 }
 
 /* The owner's clock by this node's reckoning: never ahead of it. */
@@ -122,7 +132,9 @@
 	uint64_t tokens[CELLS_TOLD_MOST];
 	GPtrArray *cells = at->node->cells;
 
-	if (at->cell || !waxwing_claim_owner(at->claim)->known || now_ms < at->ping_next_ms)
+	const struct waxwing_cell_owner_view *owner = waxwing_claim_owner(at->claim);
+
+	if (at->cell || !owner->address[0] || owner->released || now_ms < at->ping_next_ms)
 		return;
 	at->ping_next_ms = now_ms + PING_MS;
 	ping.sent_ms = (uint64_t)now_ms;
--- a/src/node/node_jobs.c
+++ b/src/node/node_jobs.c
@@ -134,7 +134,7 @@
 		at->node->touched = true;
 		return;
 	}
-	if (!waxwing_claim_owner(at->claim)->known)
+	if (!node_cell_reachable(at, node_now(at->node)))
 		return;
 	message.has_withdraw = true;
 	message.withdraw = pending->id;
@@ -327,7 +327,7 @@
 	int64_t orders_until_ms = MAX(at->orders_until_ms, pending->offered_ms + ORDERS_LAST_MS);
 	bool reachable = node_cell_reachable(at, now_ms);
 
-	if (reachable && owner->known && owner->fencing_token != pending->token) {
+	if (reachable && owner->fencing_token != pending->token) {
 		pending->offered_before = true;
 		pending->may_have_run = true;
 		pending->accepted = false;
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -29,6 +29,7 @@
 	struct waxwing_claim *claim;
 	/* as its owner tells */
 	int64_t heard_ms; /* 0: not since the owner changed */
+	uint64_t heard_token; /* of the owner that is heard */
 	int64_t owner_clock_ms; /* owner's clock at heard_ms */
 	int64_t ping_next_ms;
 	int64_t orders_until_ms; /* former orders for this node's jobs may have their effect until then */
