--- a/src/node/node.h
+++ b/src/node/node.h
@@ -29,6 +29,7 @@
 	const char *zone; /**< failure domain of this node */
 	const char *const *zones; /**< all failure domains, null-terminated; each has a cell */
 	const char *address; /**< IP:port for messages of other nodes */
+	double cpu_share; /**< cores of this node: those with more of them claim cells first */
 	uint32_t lease_most_ms; /**< longest lease that executors give */
 	uint32_t stop_ms; /**< longest time that a stop takes */
 	uint32_t ttl_least_ms; /**< shortest lease that the store gives */
--- a/src/node/node_cells.c
+++ b/src/node/node_cells.c
@@ -8,7 +8,10 @@
 #define OWNER_TTL_MS 1000
 /* Nodes of the cell's failure domain claim it after so long, each a little apart. */
 #define CLAIM_DELAY_MS	60
-#define CLAIM_SPREAD_MS 90
+#define CLAIM_SPREAD_MS 40
+/* Owning a cell of some hundred places takes this many cores; nodes with fewer claim later. */
+#define OWNER_CORES  0.5
+#define FEW_CORES_MS 150
 /*
  * Others, only when that domain has nobody left: an owner that is cut off with its whole domain goes on
  * there, and would lose what runs to one that could not reach its executors.
@@ -41,7 +44,9 @@
 static uint32_t claim_delay_ms(const struct waxwing_node *node, const char *cell)
 {
 	uint32_t spread = (uint32_t)(node->incarnation >> 32) % CLAIM_SPREAD_MS;
+	double lack = 1 - MIN(node->options.cpu_share, OWNER_CORES) / OWNER_CORES;
 
+	spread += (uint32_t)(lack * FEW_CORES_MS);
 	return (strcmp(cell, node->options.zone) == 0 ? CLAIM_DELAY_MS : CLAIM_DELAY_FAR_MS) +
 	       spread;
 }
--- a/test/node_world.h
+++ b/test/node_world.h
@@ -1190,6 +1190,7 @@
 		.zone = zone_names[at->zone],
 		.zones = zone_names,
 		.address = at->address,
+		.cpu_share = 0.25,
 		.lease_most_ms = LEASE_MOST_MS,
 		.stop_ms = STOP_MS,
 		.ttl_least_ms = 1000,
