--- /dev/null
+++ b/test/test_platform_adapter.c
@@ -0,0 +1,322 @@
+/* The adapter's decoders: the users' settings, entries and bodies, good and bad. */
+#include "entries.h"
+#include "executor_http.h"
+#include "job_body.h"
+#include "settings_file.h"
+
+#include <glib.h>
+
+static const char good_settings[] = "Node=front-1\n"
+				    "Role=entry\n"
+				    "Ip=10.1.0.13\n"
+				    "Zone=can-tho\n"
+				    "Zones.can-tho=mekong\n"
+				    "Zones.an-giang=mekong\n"
+				    "Listen.Front=10.1.0.13:8161\n"
+				    "Listen.Ready=10.1.0.13:8167\n"
+				    "InternalPorts=7720,7735\n"
+				    "Limits.CpuShare=0.25\n"
+				    "Bounds.HoldMaxMs=1000\n"
+				    "Bounds.StopMs=50\n"
+				    "Bounds.GraceS=6\n"
+				    "Bounds.FarFactor=1.5\n"
+				    "platform.Address=10.200.1.7:8169\n"
+				    "platform.TtlMinMs=1000\n"
+				    "Something.New=with, commas\n";
+
+static void test_settings(void)
+{
+	struct waxwing_error error = WAXWING_ERROR_INIT;
+	struct platform_settings *settings = platform_settings_parse(good_settings, &error);
+
+	g_assert_nonnull(settings);
+	g_assert_cmpstr(settings->node, ==, "front-1");
+	g_assert_cmpstr(settings->peer_address, ==, "10.1.0.13:7720");
+	g_assert_cmpstr(settings->zones[0], ==, "an-giang");
+	g_assert_cmpstr(settings->zones[1], ==, "can-tho");
+	g_assert_null(settings->zones[2]);
+	g_assert_cmpuint(settings->grace_ms, ==, 6000);
+	g_assert_cmpuint(settings->lease_most_ms, ==, 1000);
+	g_assert_cmpfloat(settings->far_factor, ==, 1.5);
+	g_assert_cmpfloat(settings->cpu_share, ==, 0.25);
+	platform_settings_destroy(settings);
+}
+
+/* Replaces one line of the good settings; an empty value leaves it out. */
+static char *settings_with(const char *field, const char *value)
+{
+	char **lines = g_strsplit(good_settings, "\n", -1);
+	GString *text = g_string_new(NULL);
+	char *start = g_strconcat(field, "=", NULL);
+
+	for (int i = 0; lines[i]; i++) {
+		if (!g_str_has_prefix(lines[i], start))
+			g_string_append_printf(text, "%s\n", lines[i]);
+		else if (*value)
+			g_string_append_printf(text, "%s=%s\n", field, value);
+	}
+	g_free(start);
+	g_strfreev(lines);
+	return g_string_free(text, FALSE);
+}
+
+static void test_settings_faulty(void)
+{
+	static const struct {
+		const char *field;
+		const char *value;
+		enum waxwing_error_code code;
+	} rows[] = {
+		{ "Node", "", WAXWING_ERROR_MISSING },
+		{ "Zone", "", WAXWING_ERROR_MISSING },
+		{ "Listen.Front", "", WAXWING_ERROR_MISSING },
+		{ "Listen.Front", "10.1.0.13", WAXWING_ERROR_TYPE },
+		{ "Listen.Ready", "host.example:80", WAXWING_ERROR_TYPE },
+		{ "InternalPorts", "", WAXWING_ERROR_MISSING },
+		{ "InternalPorts", "many", WAXWING_ERROR_TYPE },
+		{ "platform.Address", "", WAXWING_ERROR_MISSING },
+		{ "Bounds.HoldMaxMs", "soon", WAXWING_ERROR_TYPE },
+		{ "Bounds.GraceS", "-1", WAXWING_ERROR_TYPE },
+		{ "Limits.CpuShare", "nan", WAXWING_ERROR_TYPE },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct waxwing_error error = WAXWING_ERROR_INIT;
+		char *text = settings_with(rows[i].field, rows[i].value);
+
+		g_assert_null(platform_settings_parse(text, &error));
+		g_assert_cmpint(error.code, ==, rows[i].code);
+		g_assert_cmpstr(error.path, ==, rows[i].field);
+		g_free(text);
+	}
+}
+
+static void test_settings_syntax(void)
+{
+	struct waxwing_error error = WAXWING_ERROR_INIT;
+
+	g_assert_null(platform_settings_parse("Node=a\nno equals sign\n", &error));
+	g_assert_cmpint(error.code, ==, WAXWING_ERROR_SYNTAX);
+	g_assert_cmpuint(error.line, ==, 2);
+	g_assert_null(platform_settings_load("/nonexistent/settings", &error));
+	g_assert_cmpint(error.code, ==, WAXWING_ERROR_SYSTEM);
+}
+
+static void use_none(void *data, const struct waxwing_executor_entry *entry)
+{
+	(void)entry;
+	++*(int *)data;
+}
+
+static void use_entry(void *data, const struct waxwing_executor_entry *entry)
+{
+	++*(int *)data;
+	g_assert_cmpstr(entry->id, ==, "i-1");
+	g_assert_cmpstr(entry->address, ==, "10.128.0.9:8080");
+	g_assert_cmpstr(entry->kind, ==, "a");
+	g_assert_cmpstr(entry->rack, ==, "r1-3");
+	g_assert_cmpuint(entry->capacity.cpu_milli, ==, 16000);
+	g_assert_cmpint(entry->born_ms, ==, 1700000000000);
+	g_assert_true(entry->draining);
+}
+
+static struct waxwing_store_item item_of(const char *key, const char *value)
+{
+	return (struct waxwing_store_item){
+		.key = waxwing_str(key),
+		.value = waxwing_str(value),
+		.revision = 1,
+	};
+}
+
+static void test_executor_entry(void)
+{
+	struct waxwing_store_item item = item_of(
+		"servers/i-1",
+		"{\"Service\":\"s\",\"Address\":\"10.128.0.9:8080\",\"Zone\":\"z\",\"Slots\":8,"
+		"\"State\":\"draining\",\"Capacity\":{\"Cpu\":16000,\"MemMb\":32768,\"Gpu\":0},"
+		"\"Labels\":[\"a\",\"r1-3\"],\"born\":1700000000000,\"New\":[1]}");
+	int used = 0;
+
+	g_assert_true(platform_read_executor(&item, use_entry, &used));
+	g_assert_cmpint(used, ==, 1);
+}
+
+/* Entries of another writer name no executor. */
+static void test_executor_entry_faulty(void)
+{
+	static const char *const values[] = {
+		"",
+		"\xff\xfe\x00",
+		"[]",
+		"{}",
+		"{\"Service\":7,\"Address\":\"10.0.0.1:80\",\"Zone\":\"z\",\"State\":\"ready\","
+		"\"Capacity\":{\"Cpu\":1}}",
+		"{\"Service\":\"s\",\"Address\":\"nowhere\",\"Zone\":\"z\",\"State\":\"ready\","
+		"\"Capacity\":{\"Cpu\":1}}",
+		"{\"Service\":\"s\",\"Address\":\"10.0.0.1:80\",\"Zone\":\"z\",\"State\":\"other\","
+		"\"Capacity\":{\"Cpu\":1}}",
+		"{\"Service\":\"s\",\"Address\":\"10.0.0.1:80\",\"Zone\":\"z\",\"State\":\"ready\"}",
+		"{\"Service\":\"s\",\"Address\":\"10.0.0.1:80\",\"Zone\":\"z\",\"State\":\"ready\","
+		"\"Capacity\":{\"Cpu\":-4}}",
+	};
+	int used = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
+		struct waxwing_store_item item = item_of("servers/i-1", values[i]);
+
+		g_assert_false(platform_read_executor(&item, use_none, &used));
+	}
+	g_assert_cmpint(used, ==, 0);
+}
+
+static const char routing_value[] =
+	"{\"Version\":7,\"Routes\":["
+	"{\"Name\":\"q1\",\"Host\":\"Nony24.example\",\"Prefix\":\"/lohu930/\",\"Priority\":2,"
+	"\"Service\":\"s\",\"MaxAttempts\":3,\"Stretch\":1.6,\"TargetDurationMs\":60},"
+	"{\"Name\":\"q2\",\"Host\":\"nony24.example\",\"Prefix\":\"/lohu930/deep/\",\"Service\":\"s\"}],"
+	"\"Services\":[{\"Name\":\"s\",\"EnforcesCapacity\":true,\"MaxConnections\":64}],"
+	"\"Limits\":{\"MaxBodyBytes\":262144}}";
+
+static void test_routing(void)
+{
+	struct waxwing_store_item item = item_of("op/config", routing_value);
+	struct waxwing_routing *routing = platform_read_routing(&item);
+	const struct waxwing_queue_route *queue;
+
+	g_assert_nonnull(routing);
+	g_assert_cmpuint(routing->version, ==, 7);
+	queue = waxwing_routing_find(routing, waxwing_str("nony24.EXAMPLE:80"),
+				     waxwing_str("/lohu930/0123"));
+	g_assert_cmpstr(queue->name, ==, "q1");
+	g_assert_cmpfloat(queue->stretch, ==, 1.6);
+	queue = waxwing_routing_find(routing, waxwing_str("nony24.example"),
+				     waxwing_str("/lohu930/deep/0123"));
+	g_assert_cmpstr(queue->name, ==, "q2");
+	g_assert_cmpuint(queue->max_attempts, ==, 1);
+	g_assert_null(waxwing_routing_find(routing, waxwing_str("other.example"),
+					   waxwing_str("/lohu930/0123")));
+	g_assert_null(waxwing_routing_find(routing, waxwing_str("nony24.example"),
+					   waxwing_str("/lohu93")));
+	waxwing_routing_destroy(routing);
+}
+
+static void test_routing_faulty(void)
+{
+	static const char *const values[] = {
+		"",
+		"{}",
+		"{\"Version\":1}",
+		"{\"Version\":1,\"Routes\":[{}],\"Services\":[]}",
+		"{\"Version\":-1,\"Routes\":[],\"Services\":[]}",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
+		struct waxwing_store_item item = item_of("op/config", values[i]);
+
+		g_assert_null(platform_read_routing(&item));
+	}
+}
+
+static Waxwing__Job *read_job(const char *body, struct waxwing_error *error)
+{
+	struct waxwing_queue_route queue = {
+		.name = "q", .service = "s", .max_attempts = 3, .stretch = 1.6, .allowance_ms = 60
+	};
+
+	*error = (struct waxwing_error)WAXWING_ERROR_INIT;
+	return platform_read_job(waxwing_str(body), 5, &queue, error);
+}
+
+static void test_job(void)
+{
+	struct waxwing_error error;
+	Waxwing__Job *job = read_job(
+		"{\"Spec\":\"text\",\"BestEffort\":true,\"Steps\":[{\"Count\":4,\"Cpu\":500,"
+		"\"EstimatedMs\":90,\"Affinity\":\"r1-3\"},{\"Count\":2,\"After\":[0],"
+		"\"Requirements\":\"a\",\"AntiAffinity\":1}]}",
+		&error);
+
+	g_assert_nonnull(job);
+	g_assert_cmpuint(job->id, ==, 5);
+	g_assert_cmpuint(job->stretch_milli, ==, 1600);
+	g_assert_cmpuint(job->n_steps, ==, 2);
+	g_assert_cmpuint(job->steps[0]->cpu_milli, ==, 500);
+	g_assert_cmpstr(job->steps[0]->affinity, ==, "r1-3");
+	g_assert_cmpuint(job->steps[1]->n_after, ==, 1);
+	g_assert_cmpuint(job->steps[1]->anti_affinity, ==, 1);
+	waxwing__job__free_unpacked(job, NULL);
+}
+
+static void test_job_faulty(void)
+{
+	static const struct {
+		const char *body;
+		enum waxwing_error_code code;
+	} rows[] = {
+		{ "", WAXWING_ERROR_SYNTAX },
+		{ "[]", WAXWING_ERROR_SYNTAX },
+		{ "{} {}", WAXWING_ERROR_SYNTAX },
+		{ "{\"BestEffort\":true}", WAXWING_ERROR_MISSING },
+		{ "{\"BestEffort\":true,\"Steps\":[]}", WAXWING_ERROR_MISSING },
+		{ "{\"BestEffort\":true,\"Steps\":[4]}", WAXWING_ERROR_TYPE },
+		{ "{\"BestEffort\":true,\"Steps\":[{\"Cpu\":5}]}", WAXWING_ERROR_RANGE },
+		{ "{\"BestEffort\":true,\"Steps\":[{\"Count\":-1}]}", WAXWING_ERROR_RANGE },
+		{ "{\"BestEffort\":true,\"Steps\":[{\"Count\":1,\"Cpu\":\"x\"}]}",
+		  WAXWING_ERROR_RANGE },
+		{ "{\"BestEffort\":true,\"Steps\":[{\"Count\":1,\"After\":[0]}]}",
+		  WAXWING_ERROR_RANGE },
+		{ "{\"BestEffort\":true,\"Steps\":[{\"Count\":1},{\"Count\":1,\"After\":[2]}]}",
+		  WAXWING_ERROR_RANGE },
+		{ "{\"BestEffort\":true,\"Steps\":[{\"Count\":2000000}]}", WAXWING_ERROR_TOO_MANY },
+		{ "{\"Steps\":[{\"Count\":1}]}", WAXWING_ERROR_NEVER_FITS },
+		{ "{\"BestEffort\":true,\"Steps\":[{\"Count\":1,\"GangScheduled\":true}]}",
+		  WAXWING_ERROR_NEVER_FITS },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct waxwing_error error;
+
+		g_assert_null(read_job(rows[i].body, &error));
+		g_assert_cmpint(error.code, ==, rows[i].code);
+	}
+}
+
+static void test_task_names(void)
+{
+	static const char *const bad[] = { "",
+					   "1.0.0.0",
+					   "5c0e7a21d94b36f8",
+					   "5c0e7a21d94b36f8.0.1",
+					   "5c0e7a21d94b36f8.0.1.x",
+					   "5c0e7a21d94b36f8.0.1.17.2",
+					   "zz0e7a21d94b36f8.0.1.17" };
+	struct waxwing_run_name name = { 0x5c0e7a21d94b36f8, 0, 1, 17, 2 };
+	struct waxwing_run_name read = { 0 };
+	char text[64];
+
+	task_name_print(&name, text, sizeof(text));
+	g_assert_cmpstr(text, ==, "5c0e7a21d94b36f8.0.1.17");
+	g_assert_true(task_name_parse(text, &read));
+	g_assert_cmpuint(read.job, ==, name.job);
+	g_assert_cmpuint(read.step, ==, 1);
+	g_assert_cmpuint(read.index, ==, 17);
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++)
+		g_assert_false(task_name_parse(bad[i], &read));
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/platform/settings", test_settings);
+	g_test_add_func("/platform/settings_faulty", test_settings_faulty);
+	g_test_add_func("/platform/settings_syntax", test_settings_syntax);
+	g_test_add_func("/platform/executor_entry", test_executor_entry);
+	g_test_add_func("/platform/executor_entry_faulty", test_executor_entry_faulty);
+	g_test_add_func("/platform/routing", test_routing);
+	g_test_add_func("/platform/routing_faulty", test_routing_faulty);
+	g_test_add_func("/platform/job", test_job);
+	g_test_add_func("/platform/job_faulty", test_job_faulty);
+	g_test_add_func("/platform/task_names", test_task_names);
+	return g_test_run();
+}
