--- a/programs/waxwingctl.c
+++ b/programs/waxwingctl.c
@@ -121,7 +121,8 @@
 		    "jobs put BRANCH NAME FILE\n"
 		    "jobs remove BRANCH NAME\n"
 		    "drain INSTANCE\n"
-		    "state [INSTANCE...]",
+		    "state [INSTANCE...]\n"
+		    "story JOB LOG...",
 	.doc = "Reads and edits the settings, and talks to entry instances.\v"
 	       "PATH is a branch such as meals/headcount, / for the root, @limits or @team/NAME. "
 	       "A FILE of - is standard input. Exit codes: 0 done; 1 refused, nothing changed; 2 "
@@ -211,6 +212,12 @@
 	return waxwing_ctl_drain(ctl, words[0]);
 }
 
+static enum waxwing_ctl_exit story(struct waxwing_ctl *ctl, char *const *words, size_t count)
+{
+	(void)ctl;
+	return waxwing_ctl_story(words[0], words + 1, count - 1);
+}
+
 struct command {
 	const char *name;
 	const char *verb; /* second word; null: none */
@@ -227,6 +234,7 @@
 	{ "settings", "diff", diff, 1, 1 },
 	{ "settings", "apply", apply, 1, 1 },
 	{ "settings", "reference", reference, 0, 0 },
+	{ "story", NULL, story, 2, MAX_WORDS },
 	{ "retire", NULL, retire, 1, 1 },
 	{ "unretire", NULL, unretire, 1, 1 },
 	{ "jobs", "list", jobs_list, 0, 0 },
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -167,6 +167,12 @@
 	waxwing_breaker_start(&executor->breaker);
 	executor_lease_given(cell, executor, now_ms);
 	cell->starts++;
+	waxwing_event("run_started",
+		      "job=%016llx step=%u index=%u run=%u executor=%s speed_pct=%d due_in_ms=%lld "
+		      "ready_jobs=%d",
+		      (unsigned long long)job->id, step, index, name.run, executor->id,
+		      (int)(executor->speed.value * 100), (long long)(job->due_ms - now_ms),
+		      g_sequence_get_length(cell->ready));
 	executor_target(cell, executor, &target);
 	cell->options.ops->start(cell->options.data, &target, &name, job->spec->spec,
 				 executor_until(cell, executor, now_ms));
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -84,4 +84,12 @@
 /** Waits until all instances have @revision in force, and says how many do. */
 enum waxwing_ctl_exit waxwing_ctl_wait(struct waxwing_ctl *ctl, uint64_t revision);
 
+/* logs */
+
+/**
+ * Prints in order what the log files of nodes (platform/) say of one job, and of the cells, executors
+ * and nodes that it met.
+ */
+enum waxwing_ctl_exit waxwing_ctl_story(const char *job, char *const *files, size_t count);
+
 #endif
--- a/src/node/node_jobs.c
+++ b/src/node/node_jobs.c
@@ -107,6 +107,13 @@
 	fields.age_ms = (uint32_t)(now_ms - pending->arrived_ms);
 	fields.has_running_before = pending->offered_before;
 	fields.running_before = pending->offered_before;
+	waxwing_event("job_offered",
+		      "job=%016llx queue=%s cell=%s token=%llu again=%d age_ms=%u wait_ms=%u "
+		      "free_milli=%u news_age_ms=%lld",
+		      (unsigned long long)pending->id, pending->job->queue, at->name,
+		      (unsigned long long)pending->token, pending->offered_before, fields.age_ms,
+		      at->wait_ms, at->free_milli,
+		      (long long)(at->cell ? 0 : now_ms - at->heard_ms));
 	if (!at->cell) {
 		fields.job = pending->job;
 		message.offer = &fields;
