--- a/src/cell/cell_run.c
+++ b/src/cell/cell_run.c
@@ -120,10 +120,10 @@
 
 	if (end == WAXWING_RUN_DONE)
 		return;
-	waxwing_event("run_ended", "job=%016llx step=%u index=%u run=%u executor=%s how=%s ms=%lld",
-		      (unsigned long long)run->name.job, run->name.step, run->name.index,
-		      run->name.run, run->executor->id, names[end],
-		      (long long)(now_ms - run->started_ms));
+	waxwing_event(
+		"run_ended", "job=%016llx step=%u index=%u run=%u executor=%s how=%s ran_ms=%lld",
+		(unsigned long long)run->name.job, run->name.step, run->name.index, run->name.run,
+		run->executor->id, names[end], (long long)(now_ms - run->started_ms));
 }
 
 void run_ended(struct waxwing_cell *cell, struct cell_run *run, enum waxwing_run_end end,
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -149,7 +149,7 @@
 	int64_t now_ms = node_now(node);
 
 	if (node->last_turn_ms && now_ms - node->last_turn_ms >= STALL_MS)
-		waxwing_event("stalled", "ms=%lld", (long long)(now_ms - node->last_turn_ms));
+		waxwing_event("stalled", "stood_ms=%lld", (long long)(now_ms - node->last_turn_ms));
 	node->last_turn_ms = now_ms;
 	waxwing_store_watch_set_pace(node->executor_watch,
 				     owns_cell(node) ? ENTRIES_PACE_OWNER_MS : ENTRIES_PACE_MS);
