--- /dev/null
+++ b/test/standin/store.c
@@ -0,0 +1,410 @@
+/**
+ * Stand-in of the users' metadata store: the calls that the adapter makes, one revision counter, leases.
+ *
+ * PUT /control/key?Key=K writes a key as the operator and the executors do (the body is the value), DELETE
+ * /control/key?Key=K removes it, GET /control/calls tells how many calls came, PUT
+ * /control/mode?mode=live|busy has all calls refused with 503 or not.
+ */
+#include "server.h"
+
+#include "json.h"
+
+#include <argp.h>
+#include <inttypes.h>
+#include <stdlib.h>
+
+struct entry {
+	char *value; /* base64 */
+	uint64_t revision;
+	uint64_t lease;
+};
+
+struct change {
+	char *key;
+	char *value; /* null: removed */
+	uint64_t revision;
+};
+
+struct lease {
+	uint32_t ttl_ms;
+	int64_t until_ms;
+};
+
+struct store {
+	struct server server; /* first */
+	uint16_t port;
+	GTree *entries; /* key -> entry */
+	GPtrArray *changes;
+	GHashTable *leases; /* id -> lease */
+	uint64_t revision;
+	uint64_t last_lease;
+	uint64_t calls;
+	bool busy;
+};
+
+static void entry_free(gpointer value)
+{
+	struct entry *entry = value;
+
+	g_free(entry->value);
+	g_free(entry);
+}
+
+static gint compare_keys(gconstpointer a, gconstpointer b, gpointer user)
+{
+	(void)user;
+	return strcmp(a, b);
+}
+
+static void note_change(struct store *store, const char *key, const char *value)
+{
+	struct change *change = g_new0(struct change, 1);
+
+	change->key = g_strdup(key);
+	change->value = g_strdup(value);
+	change->revision = store->revision;
+	g_ptr_array_add(store->changes, change);
+	server_wake(&store->server);
+}
+
+static void put(struct store *store, const char *key, const char *value, uint64_t lease)
+{
+	struct entry *entry = g_new0(struct entry, 1);
+
+	entry->value = g_strdup(value);
+	entry->revision = ++store->revision;
+	entry->lease = lease;
+	g_tree_replace(store->entries, g_strdup(key), entry);
+	note_change(store, key, value);
+}
+
+static void take_away(struct store *store, const char *key)
+{
+	char *copy = g_strdup(key);
+
+	if (g_tree_remove(store->entries, copy)) {
+		store->revision++;
+		note_change(store, copy, NULL);
+	}
+	g_free(copy);
+}
+
+struct of_lease {
+	uint64_t lease;
+	GPtrArray *keys;
+};
+
+static gboolean gather_of_lease(gpointer key, gpointer value, gpointer data)
+{
+	struct of_lease *gathered = data;
+
+	if (((struct entry *)value)->lease == gathered->lease)
+		g_ptr_array_add(gathered->keys, g_strdup(key));
+	return FALSE;
+}
+
+static void end_lease(struct store *store, uint64_t id)
+{
+	struct of_lease gathered = { id, g_ptr_array_new_with_free_func(g_free) };
+
+	g_tree_foreach(store->entries, gather_of_lease, &gathered);
+	for (guint i = 0; i < gathered.keys->len; i++)
+		take_away(store, gathered.keys->pdata[i]);
+	g_ptr_array_free(gathered.keys, TRUE);
+}
+
+static int64_t let_leases_end(struct server *server, int64_t now_ms)
+{
+	struct store *store = (struct store *)server;
+	int64_t next_ms = INT64_MAX;
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+	GArray *ended = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+
+	g_hash_table_iter_init(&iter, store->leases);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		const struct lease *lease = value;
+		uint64_t id = *(uint64_t *)key;
+
+		if (now_ms < lease->until_ms) {
+			next_ms = MIN(next_ms, lease->until_ms);
+			continue;
+		}
+		g_array_append_val(ended, id);
+		g_hash_table_iter_remove(&iter);
+	}
+	for (guint i = 0; i < ended->len; i++)
+		end_lease(store, g_array_index(ended, uint64_t, i));
+	g_array_free(ended, TRUE);
+	return next_ms;
+}
+
+static enum server_verdict answer(struct server_request *request, unsigned int status,
+				  GString *text)
+{
+	enum server_verdict verdict = server_answer(request, status, text->str, text->len,
+						    "Content-Type", "application/json");
+
+	g_string_free(text, TRUE);
+	return verdict;
+}
+
+struct page {
+	struct store *store;
+	const char *prefix;
+	const char *after;
+	GString *text;
+	int rows;
+};
+
+static gboolean add_row(gpointer key, gpointer value, gpointer data)
+{
+	struct page *page = data;
+	const struct entry *entry = value;
+
+	if (!g_str_has_prefix(key, page->prefix) || (page->after && strcmp(key, page->after) <= 0))
+		return FALSE;
+	g_string_append_printf(page->text,
+			       "%s{\"Key\":\"%s\",\"Value\":\"%s\",\"Revision\":%" PRIu64
+			       ",\"Lease\":%" PRIu64 "}",
+			       page->rows++ ? "," : "", (const char *)key, entry->value,
+			       entry->revision, entry->lease);
+	return FALSE;
+}
+
+static enum server_verdict range(struct store *store, struct server_request *request)
+{
+	struct page page = {
+		.store = store,
+		.prefix = server_argument(request, "Prefix"),
+		.after = server_argument(request, "After"),
+		.text = g_string_new("{\"items\":["),
+	};
+
+	g_tree_foreach(store->entries, add_row, &page);
+	g_string_append_printf(page.text, "],\"MorePages\":false,\"CurrentRev\":%" PRIu64 "}",
+			       store->revision);
+	return answer(request, 200, page.text);
+}
+
+/* The state of a waiting watch is the time at which it is answered with nothing. */
+static enum server_verdict watch(struct store *store, struct server_request *request)
+{
+	const char *prefix = server_argument(request, "Prefix");
+	uint64_t after = (uint64_t)server_number(request, "After", 0);
+	GString *text = g_string_new("{\"events\":[");
+	int64_t *until_ms = request->state;
+	int rows = 0;
+
+	if (!until_ms) {
+		until_ms = g_new0(int64_t, 1);
+		*until_ms = server_now() + server_number(request, "WaitMs", 0);
+		request->state = until_ms;
+	}
+	for (guint i = 0; i < store->changes->len; i++) {
+		const struct change *change = store->changes->pdata[i];
+
+		if (change->revision <= after || !g_str_has_prefix(change->key, prefix))
+			continue;
+		g_string_append_printf(text, "%s{\"Key\":\"%s\",\"Revision\":%" PRIu64,
+				       rows++ ? "," : "", change->key, change->revision);
+		if (change->value)
+			g_string_append_printf(text, ",\"Value\":\"%s\"}", change->value);
+		else
+			g_string_append(text, ",\"Deleted\":true}");
+	}
+	if (!rows && server_now() < *until_ms) {
+		g_string_free(text, TRUE);
+		request->wake_ms = *until_ms;
+		return SERVER_WAIT;
+	}
+	g_string_append_printf(text, "],\"CurrentRev\":%" PRIu64 "}", store->revision);
+	return answer(request, 200, text);
+}
+
+static struct json_object *row_of(struct json_object *object, const char *name, size_t index)
+{
+	struct json_object *rows = json_member(object, name, json_type_array);
+
+	return rows ? json_object_array_get_idx(rows, index) : NULL;
+}
+
+static bool conditions_hold(struct store *store, struct json_object *object)
+{
+	struct json_object *row;
+
+	for (size_t i = 0; (row = row_of(object, "Precondition", i)); i++) {
+		const struct entry *entry = g_tree_lookup(store->entries, json_text(row, "Key"));
+
+		if ((entry ? entry->revision : 0) != json_u64_or_0(row, "Revision"))
+			return false;
+	}
+	return true;
+}
+
+static bool leases_live(struct store *store, struct json_object *object)
+{
+	struct json_object *row;
+
+	for (size_t i = 0; (row = row_of(object, "Puts", i)); i++) {
+		uint64_t lease = json_u64_or_0(row, "Lease");
+
+		if (lease && !g_hash_table_contains(store->leases, &lease))
+			return false;
+	}
+	return true;
+}
+
+static enum server_verdict transact(struct store *store, struct server_request *request,
+				    struct json_object *object)
+{
+	struct json_object *row;
+
+	if (!conditions_hold(store, object))
+		return server_text(request, 412, "{\"items\":[]}");
+	if (!leases_live(store, object))
+		return server_text(request, 404, "{}");
+	for (size_t i = 0; (row = row_of(object, "Puts", i)); i++)
+		put(store, json_text(row, "Key"), json_text(row, "Value"),
+		    json_u64_or_0(row, "Lease"));
+	for (size_t i = 0; (row = row_of(object, "Remove", i)); i++)
+		take_away(store, json_object_get_string(row));
+	row = json_object_new_object();
+	json_object_object_add(row, "Revision", json_object_new_uint64(store->revision));
+	server_text(request, 200, json_object_to_json_string(row));
+	json_object_put(row);
+	return SERVER_ANSWERED;
+}
+
+static enum server_verdict grant(struct store *store, struct server_request *request,
+				 struct json_object *object)
+{
+	struct lease *lease = g_new0(struct lease, 1);
+	GString *text = g_string_new(NULL);
+	uint64_t id = ++store->last_lease;
+
+	lease->ttl_ms = (uint32_t)json_u64_or_0(object, "TtlMs");
+	lease->until_ms = server_now() + lease->ttl_ms;
+	g_hash_table_insert(store->leases, g_memdup2(&id, sizeof(id)), lease);
+	g_string_printf(text, "{\"Lease\":%" PRIu64 ",\"TtlMs\":%u}", id, lease->ttl_ms);
+	pthread_cond_signal(&store->server.changed);
+	return answer(request, 200, text);
+}
+
+static enum server_verdict renew(struct store *store, struct server_request *request)
+{
+	uint64_t id = g_ascii_strtoull(request->path + strlen("/kv-keep/"), NULL, 10);
+	struct lease *lease = g_hash_table_lookup(store->leases, &id);
+
+	if (!lease)
+		return server_text(request, 404, "{}");
+	lease->until_ms = server_now() + lease->ttl_ms;
+	return server_text(request, 200, "{\"TtlMs\":1000}");
+}
+
+static enum server_verdict control(struct store *store, struct server_request *request)
+{
+	const char *key = server_argument(request, "Key");
+	char calls[32];
+
+	if (strcmp(request->path, "/control/calls") == 0) {
+		g_snprintf(calls, sizeof(calls), "%" PRIu64 "\n", store->calls);
+		return server_text(request, 200, calls);
+	}
+	if (strcmp(request->path, "/control/mode") == 0) {
+		store->busy = g_strcmp0(server_argument(request, "mode"), "busy") == 0;
+		return server_text(request, 200, "");
+	}
+	if (!key)
+		return server_text(request, 400, "");
+	if (strcmp(request->method, "DELETE") == 0) {
+		take_away(store, key);
+	} else {
+		char *value = g_base64_encode(request->body->data, request->body->len);
+
+		put(store, key, value, 0);
+		g_free(value);
+	}
+	return server_text(request, 200, "");
+}
+
+static enum server_verdict handle(struct server *server, struct server_request *request)
+{
+	struct store *store = (struct store *)server;
+	struct json_object *object;
+	enum server_verdict verdict = SERVER_ANSWERED;
+
+	if (g_str_has_prefix(request->path, "/control/"))
+		return control(store, request);
+	if (!request->state)
+		store->calls++;
+	if (store->busy)
+		return server_text(request, 503, "");
+	if (strcmp(request->path, "/kv-range") == 0 && server_argument(request, "Prefix"))
+		return range(store, request);
+	if (strcmp(request->path, "/kv-watch") == 0 && server_argument(request, "Prefix"))
+		return watch(store, request);
+	if (g_str_has_prefix(request->path, "/kv-keep/"))
+		return renew(store, request);
+	object = json_parse(
+		(struct waxwing_str){ request->body->len, (const char *)request->body->data });
+	if (strcmp(request->path, "/kv-txn") == 0 && object)
+		verdict = transact(store, request, object);
+	else if (strcmp(request->path, "/kv-lease") == 0 && object)
+		verdict = grant(store, request, object);
+	else
+		verdict = server_text(request, 400, "");
+	json_object_put(object);
+	return verdict;
+}
+
+static error_t parse_option(int key, char *arg, struct argp_state *state)
+{
+	if (key != 'p')
+		return ARGP_ERR_UNKNOWN;
+	((struct store *)state->input)->port = (uint16_t)strtoul(arg, NULL, 10);
+	return 0;
+}
+
+static void change_free(gpointer value)
+{
+	struct change *change = value;
+
+	g_free(change->key);
+	g_free(change->value);
+	g_free(change);
+}
+
+int main(int argc, char **argv)
+{
+	static const struct argp_option options[] = {
+		{ "port", 'p', "PORT", 0, "port on 127.0.0.1; 0: any", 0 },
+		{ 0 },
+	};
+	static const struct argp argp = { options, parse_option,
+					  NULL,	   "Stand-in of the users' store, for tests.",
+					  NULL,	   NULL,
+					  NULL };
+	struct store store = { .server.handle = handle, .server.tick = let_leases_end };
+	sigset_t signals;
+
+	argp_parse(&argp, argc, argv, 0, NULL, &store);
+	store.entries = g_tree_new_full(compare_keys, NULL, g_free, entry_free);
+	store.changes = g_ptr_array_new_with_free_func(change_free);
+	store.leases = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+	server_block_signals(&signals);
+	store.port = server_start(&store.server, store.port, 1000);
+	if (!store.port) {
+		perror("standin-store: bind");
+		return EXIT_FAILURE;
+	}
+	printf("ready 127.0.0.1:%u\n", store.port);
+	fflush(stdout);
+	server_await_signal(&signals);
+	server_stop(&store.server);
+	g_tree_destroy(store.entries);
+	g_ptr_array_free(store.changes, TRUE);
+	g_hash_table_destroy(store.leases);
+	return EXIT_SUCCESS;
+}
