--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -34,6 +34,7 @@
 	cell->list = g_ptr_array_new();
 	cell->kinds = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_kind);
 	cell->queues = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_queue);
+	cell->finished = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	cell->verdicts = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	return cell;
 }
@@ -63,6 +64,7 @@
 	g_hash_table_destroy(cell->kinds);
 	g_hash_table_destroy(cell->queues);
 	g_hash_table_destroy(cell->verdicts);
+	g_hash_table_destroy(cell->finished);
 	g_free((char *)cell->options.name);
 	g_free(cell);
 }
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -124,6 +124,10 @@
 	void (*hold)(void *data, const struct waxwing_order_target *target, int64_t until_ms,
 		     uint64_t acked_upto, uint32_t wait_ms);
 	void (*verdict)(void *data, uint64_t issuer, const Waxwing__JobVerdict *verdict);
+	/** Writes to the journal; returns the record's number, from 1, rising. */
+	uint64_t (*record)(void *data, const Waxwing__JournalRecord *record);
+	/** Answers waxwing_cell_ask(). */
+	void (*told)(void *data, uint64_t asker, const Waxwing__JobTold *told);
 	/** An executor has seen a higher token: the cell is another's. */
 	void (*fenced)(void *data, const char *executor);
 };
@@ -134,6 +138,17 @@
 	WAXWING_JOB_FAILED = 1, /**< a task failed as often as its queue allows */
 	WAXWING_JOB_REFUSED = 2, /**< none of its tasks ran */
 	WAXWING_JOB_GIVEN_UP = 3, /**< tasks ran, and the job will not end in time */
+	WAXWING_JOB_STORED = 4, /**< a job that must be kept is; its state is asked for later */
+};
+
+/** State of a job that must be kept. Numbers are part of the peer protocol and of the journal. */
+enum waxwing_job_state {
+	WAXWING_STATE_NONE = 0, /**< there is no such job */
+	WAXWING_STATE_QUEUED = 1,
+	WAXWING_STATE_RUNNING = 2,
+	WAXWING_STATE_COMPLETED = 3,
+	WAXWING_STATE_FAILED = 4,
+	WAXWING_STATE_CANCELLED = 5,
 };
 
 struct waxwing_cell_options {
@@ -150,6 +165,9 @@
 	 * wait until the leases that it gave have run out.
 	 */
 	bool list_incomplete;
+	/** The journal is being read: see waxwing_cell_replay(). */
+	bool recovering;
+	uint32_t status_ms; /**< how long the state of an ended job is told */
 };
 
 struct waxwing_cell *waxwing_cell_create(int64_t now_ms,
@@ -176,6 +194,31 @@
 void waxwing_cell_offer(struct waxwing_cell *cell, int64_t now_ms, uint64_t issuer,
 			Waxwing__JobOffer *offer);
 
+/* jobs that must be kept */
+
+/** True when the job was offered before and has not been refused. */
+bool waxwing_cell_knows(const struct waxwing_cell *cell, uint64_t job);
+
+/** A record of the journal, in order, before waxwing_cell_recovered(). */
+void waxwing_cell_replay(struct waxwing_cell *cell, int64_t now_ms,
+			 const Waxwing__JournalRecord *record);
+
+/** The journal was read whole: jobs may start, and offers and asks are answered. */
+void waxwing_cell_recovered(struct waxwing_cell *cell, int64_t now_ms);
+
+/** All records up to @number are stored. */
+void waxwing_cell_stored(struct waxwing_cell *cell, int64_t now_ms, uint64_t number);
+
+/** Records that say all that a successor must know, added to @segment. */
+void waxwing_cell_snapshot(const struct waxwing_cell *cell, Waxwing__JournalSegment *segment);
+
+/**
+ * Tells a job's state, or cancels it first; answered through ops->told, a cancel once it is stored. Not
+ * answered while the job is being stored or the journal read: the asker asks again.
+ */
+void waxwing_cell_ask(struct waxwing_cell *cell, int64_t now_ms, uint64_t asker,
+		      const Waxwing__JobAsk *ask);
+
 /** Stops a job for which nobody waits any more. */
 void waxwing_cell_withdraw(struct waxwing_cell *cell, int64_t now_ms, uint64_t job);
 
--- a/src/cell/cell_executor.c
+++ b/src/cell/cell_executor.c
@@ -10,6 +10,7 @@
 void executor_free(struct executor *executor)
 {
 	g_ptr_array_free(executor->runs, TRUE);
+	g_array_free(executor->ack_waits, TRUE);
 	g_strfreev(executor->labels);
 	g_free(executor->id);
 	g_free(executor->address);
@@ -130,6 +131,8 @@
 	waxwing_event("executor_restarted", "executor=%s runs=%u", executor->id,
 		      executor->runs->len);
 	executor->ended_upto = 0;
+	executor->noted_upto = 0;
+	g_array_set_size(executor->ack_waits, 0);
 	executor->acked_upto = 0;
 	executor->acking = 0;
 	executor->full_until_ms = 0;
@@ -156,6 +159,7 @@
 
 	executor->id = g_strdup(entry->id);
 	executor->runs = g_ptr_array_new();
+	executor->ack_waits = g_array_new(FALSE, FALSE, sizeof(struct ack_wait));
 	executor->life = cell->next_life++;
 	executor->born_ms = entry->born_ms;
 	executor->hold_wanted = true;
--- a/src/cell/cell_hold.c
+++ b/src/cell/cell_hold.c
@@ -4,10 +4,17 @@
 #include "event_log.h"
 #include "log.h"
 
+/* A run that is listed so long after its stop was answered is stopped again. */
+#define STOP_OVERDUE_MS 500
 /* Between two looks at an executor that does not answer. */
 #define SILENT_LOOK_MS 200
-/* Ends are acknowledged after this at the latest; a hold for a new run does it sooner. */
-#define ACK_DELAY_MS 150
+/* Ends whose records are being stored are listed again at once, so the next hold waits a little. */
+#define STORING_MS 8
+/*
+ * Ends are acknowledged only right after an answer that listed them: an executor that has restarted since
+ * numbers its ends from 1 again, and would forget ends that nobody has seen.
+ */
+#define ACK_FRESH_MS 30
 /* Weight of a silent executor, against a failed task. */
 #define SILENCE_WEIGHT 1.0
 
@@ -17,24 +24,44 @@
 		return false;
 	if (executor->hold_wanted || executor->runs->len || executor->silent)
 		return true;
-	return executor->ended_upto > executor->acked_upto && now_ms >= executor->ack_due_ms;
+	return executor->ended_upto > executor->acked_upto;
+}
+
+/* Ends may be acknowledged once what they told is stored. */
+static void note_ends(const struct waxwing_cell *cell, struct executor *executor)
+{
+	guint ready = 0;
+
+	while (ready < executor->ack_waits->len &&
+	       g_array_index(executor->ack_waits, struct ack_wait, ready).record <= cell->stored)
+		executor->noted_upto =
+			g_array_index(executor->ack_waits, struct ack_wait, ready++).end;
+	if (ready)
+		g_array_remove_range(executor->ack_waits, 0, ready);
 }
 
 static void send_hold(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms)
 {
 	struct waxwing_order_target target;
 	bool extend = executor->answered && !executor->silent;
+	bool listing; /* ends that are to be acknowledged are wanted at once, not the next one */
+	bool fresh;
 
 	executor->hold_out = true;
 	executor->hold_wanted = false;
 	executor->hold_sent_ms = now_ms;
-	executor->acking = executor->ended_upto;
+	note_ends(cell, executor);
+	fresh = now_ms - executor->answered_ms <= ACK_FRESH_MS;
+	executor->acking = fresh ? executor->noted_upto : executor->acked_upto;
 	if (extend)
 		executor_lease_given(cell, executor, now_ms);
 	executor_target(cell, executor, &target);
+	listing = !fresh && executor->noted_upto > executor->acked_upto;
+	/* numbers that were acknowledged before are not named again: a new life may have begun with 1 */
 	cell->options.ops->hold(cell->options.data, &target,
 				extend ? executor_until(cell, executor, now_ms) : 0,
-				executor->acking, extend && executor->runs->len ? HOLD_WAIT_MS : 0);
+				executor->acking > executor->acked_upto ? executor->acking : 0,
+				extend && executor->runs->len && !listing ? HOLD_WAIT_MS : 0);
 }
 
 void cell_hold_due(struct waxwing_cell *cell, int64_t now_ms)
@@ -62,17 +89,18 @@
 {
 	struct cell_run *run = run_find(executor, &row->name);
 	struct cell_job *job = find_job(cell, &row->name);
+	struct ack_wait wait;
 
 	if (row->number <= executor->ended_upto)
 		return;
 	executor->ended_upto = row->number;
-	if (run) {
+	if (run)
 		run_ended(cell, run, row->end, now_ms);
-		return;
-	}
-	/* an end of a former owner's run, of a job that its issuer has offered again */
-	if (job && row->end == WAXWING_RUN_DONE)
+	else if (job && row->end == WAXWING_RUN_DONE)
+		/* of a former owner's run */
 		job_task_done(cell, job, row->name.step, row->name.index, now_ms);
+	wait = (struct ack_wait){ row->number, cell->recorded };
+	g_array_append_val(executor->ack_waits, wait);
 }
 
 static void see_running(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms,
@@ -97,6 +125,10 @@
 		run->state = RUN_RUNNING;
 		run->started_ms = now_ms;
 	}
+	/* it should have ended: the stop is given again */
+	if (run->state == RUN_STOPPING && run->stopped_by_ms &&
+	    now_ms - run->stopped_by_ms >= STOP_OVERDUE_MS)
+		run->stopped_by_ms = 0;
 	if (row->percent > run->percent || !run->percent_ms) {
 		run->percent = row->percent;
 		run->percent_ms = now_ms;
@@ -155,13 +187,17 @@
 	executor_take_clock(executor, now_ms, answer->clock_ms);
 	executor->answered = true;
 	executor->acked_upto = MAX(executor->acked_upto, executor->acking);
-	for (size_t i = 0; i < answer->ended_count; i++)
+	/* ends are listed again: what they are about is known once the journal was read */
+	for (size_t i = 0; i < answer->ended_count && !cell->options.recovering; i++)
 		take_ended(cell, executor, now_ms, &answer->ended[i]);
 	for (size_t i = 0; i < answer->running_count; i++)
 		see_running(cell, executor, now_ms, &answer->running[i]);
 	miss_runs(cell, executor, now_ms, answer);
-	executor->hold_next_ms = now_ms;
-	executor->ack_due_ms = now_ms + ACK_DELAY_MS;
+	note_ends(cell, executor);
+	executor->hold_next_ms = now_ms + (executor->ack_waits->len ? STORING_MS : 0);
+	executor->answered_ms = now_ms;
+	if (cell->options.recovering && answer->ended_count)
+		executor->hold_wanted = true;
 }
 
 void waxwing_cell_hold_answered(struct waxwing_cell *cell, int64_t now_ms, uint64_t life,
--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -125,7 +125,7 @@
 	count_ready(cell, job, step, -1);
 }
 
-static void open_steps(struct waxwing_cell *cell, struct cell_job *job)
+void job_open_steps(struct waxwing_cell *cell, struct cell_job *job)
 {
 	for (uint32_t i = 0; i < job->spec->n_steps; i++) {
 		struct cell_step *step = &job->steps[i];
@@ -154,6 +154,8 @@
 		g_free(job->steps[i].tasks);
 	}
 	g_free(job->steps);
+	if (job->cancellers)
+		g_array_free(job->cancellers, TRUE);
 	waxwing__job_offer__free_unpacked(job->offer, NULL);
 	g_free(job);
 }
@@ -201,7 +203,7 @@
 }
 
 /* No order of the job is given any more; the job is freed when its last run has ended. */
-static void close_job(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms)
+void job_close(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms)
 {
 	job->ended = true;
 	if (!job->started)
@@ -210,6 +212,13 @@
 	if (job->out)
 		stop_runs(cell, job, now_ms);
 	else
+		job_leave(cell, job);
+}
+
+/* One that must be kept is there until its end is stored. */
+void job_leave(struct waxwing_cell *cell, struct cell_job *job)
+{
+	if (job->ended && !job->out && (!job->kept || job->final_stored))
 		job_free(cell, job);
 }
 
@@ -233,7 +242,7 @@
 			      (long long)(now_ms - job->arrived_ms),
 			      (long long)(job->due_ms - job->arrived_ms));
 	give_verdict(cell, job->issuer, now_ms, &verdict);
-	close_job(cell, job, now_ms);
+	job_close(cell, job, now_ms);
 }
 
 void job_task_done(struct waxwing_cell *cell, struct cell_job *job, uint32_t step, uint32_t index,
@@ -250,14 +259,19 @@
 	task->state = TASK_DONE;
 	job->steps[step].done++;
 	job->undone--;
+	if (job->kept)
+		keep_task(cell, job, step, index, false);
 	if (!job->undone) {
 		if (!job->started) {
 			job->started = true;
 			job->queue->waiting_jobs--;
 		}
-		job_end(cell, job, now_ms, WAXWING_JOB_COMPLETED, WAXWING_OK, 0);
+		if (job->kept)
+			keep_end(cell, job, now_ms, WAXWING_STATE_COMPLETED);
+		else
+			job_end(cell, job, now_ms, WAXWING_JOB_COMPLETED, WAXWING_OK, 0);
 	} else if (job->steps[step].done == job->steps[step].spec->count) {
-		open_steps(cell, job);
+		job_open_steps(cell, job);
 	}
 }
 
@@ -280,20 +294,25 @@
 	task->failures++;
 	g_free(task->failed_at);
 	task->failed_at = g_strdup(executor->id);
-	if (is_suspect(executor))
+	if (job->kept)
+		keep_task(cell, job, step, index, true);
+	else if (is_suspect(executor))
 		most += FAILURES_FORGIVEN;
 	if (task->failures < most) {
 		job_task_ready(cell, job, step, index);
 		return;
 	}
 	task->state = TASK_DONE;
-	job_end(cell, job, now_ms, WAXWING_JOB_FAILED, WAXWING_ERROR_TASK_FAILED, 0);
+	if (job->kept)
+		keep_end(cell, job, now_ms, WAXWING_STATE_FAILED);
+	else
+		job_end(cell, job, now_ms, WAXWING_JOB_FAILED, WAXWING_ERROR_TASK_FAILED, 0);
 }
 
 /* Ends the offer with a verdict at once. */
-static void answer_offer(struct waxwing_cell *cell, int64_t now_ms, uint64_t issuer,
-			 Waxwing__JobOffer *offer, enum waxwing_job_outcome outcome,
-			 enum waxwing_error_code reason, uint32_t retry_after_ms)
+void job_answer_offer(struct waxwing_cell *cell, int64_t now_ms, uint64_t issuer,
+		      Waxwing__JobOffer *offer, enum waxwing_job_outcome outcome,
+		      enum waxwing_error_code reason, uint32_t retry_after_ms)
 {
 	Waxwing__JobVerdict verdict = WAXWING__JOB_VERDICT__INIT;
 
@@ -335,8 +354,8 @@
 	return true;
 }
 
-static struct cell_job *create_job(struct waxwing_cell *cell, int64_t now_ms, uint64_t issuer,
-				   Waxwing__JobOffer *offer)
+struct cell_job *job_create(struct waxwing_cell *cell, int64_t now_ms, uint64_t issuer,
+			    Waxwing__JobOffer *offer)
 {
 	struct cell_job *job = g_new0(struct cell_job, 1);
 	double objective_ms;
@@ -360,8 +379,10 @@
 	}
 	job->tasks = job->undone;
 	job->queue->waiting_jobs++;
+	job->kept = job->spec->kept;
 	g_hash_table_insert(cell->jobs, &job->id, job);
-	open_steps(cell, job);
+	if (!job->kept)
+		job_open_steps(cell, job);
 	return job;
 }
 
@@ -369,7 +390,7 @@
  * Runs that were found before their job was offered. One that is being stopped counts as out as well:
  * its task must not start beside it.
  */
-static void adopt_runs(struct waxwing_cell *cell, struct cell_job *job)
+void job_adopt_runs(struct waxwing_cell *cell, struct cell_job *job)
 {
 	for (guint i = 0; i < cell->list->len; i++) {
 		struct executor *executor = cell->list->pdata[i];
@@ -424,24 +445,28 @@
 	struct cell_job *job;
 	uint32_t wait_ms;
 
-	if (is_known(cell, issuer, offer))
+	if (spec->kept ? keep_offer(cell, now_ms, issuer, offer) : is_known(cell, issuer, offer))
 		return;
 	job = g_hash_table_lookup(cell->jobs, &spec->id);
 	if (job) {
 		/* an earlier submission's runs are still being stopped */
-		answer_offer(cell, now_ms, issuer, offer, WAXWING_JOB_GIVEN_UP,
-			     WAXWING_ERROR_OUTCOME_UNKNOWN, RETRY_AFTER_LEAST_MS);
+		job_answer_offer(cell, now_ms, issuer, offer, WAXWING_JOB_GIVEN_UP,
+				 WAXWING_ERROR_OUTCOME_UNKNOWN, RETRY_AFTER_LEAST_MS);
 		return;
 	}
 	for (size_t i = 0; i < spec->n_steps && !before; i++) {
 		if (!step_fits_somewhere(cell, spec, spec->steps[i])) {
-			answer_offer(cell, now_ms, issuer, offer, WAXWING_JOB_REFUSED,
-				     WAXWING_ERROR_NO_UPSTREAM, RETRY_AFTER_LEAST_MS * 5);
+			job_answer_offer(cell, now_ms, issuer, offer, WAXWING_JOB_REFUSED,
+					 WAXWING_ERROR_NO_UPSTREAM, RETRY_AFTER_LEAST_MS * 5);
 			return;
 		}
 	}
-	job = create_job(cell, now_ms, issuer, offer);
-	adopt_runs(cell, job);
+	job = job_create(cell, now_ms, issuer, offer);
+	if (job->kept) {
+		keep_begin(cell, job);
+		return;
+	}
+	job_adopt_runs(cell, job);
 	if (!before && will_be_worthless(cell, now_ms, job, &wait_ms))
 		job_end(cell, job, now_ms, WAXWING_JOB_REFUSED, WAXWING_ERROR_OVERLOAD,
 			MAX(wait_ms, RETRY_AFTER_LEAST_MS));
@@ -451,11 +476,11 @@
 {
 	struct cell_job *job = g_hash_table_lookup(cell->jobs, &id);
 
-	if (!job || job->ended)
+	if (!job || job->ended || job->kept)
 		return;
 	waxwing_event("job_withdrawn", "job=%016llx out=%u undone=%u", (unsigned long long)id,
 		      job->out, job->undone);
-	close_job(cell, job, now_ms);
+	job_close(cell, job, now_ms);
 }
 
 void waxwing_cell_forget_issuer(struct waxwing_cell *cell, int64_t now_ms, uint64_t issuer)
@@ -466,7 +491,7 @@
 		struct cell_job *job = at->data;
 		Waxwing__JobVerdict verdict = WAXWING__JOB_VERDICT__INIT;
 
-		if (job->issuer != issuer || job->ended)
+		if (job->issuer != issuer || job->ended || job->kept)
 			continue;
 		/* if the issuer asks again, it must not hear that nothing ran */
 		verdict.job = job->id;
@@ -499,7 +524,7 @@
 {
 	if (job->ended)
 		return;
-	if (!job->started && now_ms > worthless_ms(job)) {
+	if (!job->kept && !job->started && now_ms > worthless_ms(job)) {
 		job_end(cell, job, now_ms, WAXWING_JOB_REFUSED, WAXWING_ERROR_DEADLINE,
 			(uint32_t)MAX(cell_wait_ms(cell, job->spec->service, now_ms),
 				      RETRY_AFTER_LEAST_MS));
@@ -515,11 +540,14 @@
 
 		for (guint k = 0; k < executor->runs->len; k++) {
 			struct cell_run *run = executor->runs->pdata[k];
-			bool again = run->state == RUN_STOPPING && now_ms >= run->stop_next_ms;
+			bool again = run->state == RUN_STOPPING && !run->stopped_by_ms &&
+				     now_ms >= run->stop_next_ms;
 			bool orphan = !run->job && run->state == RUN_RUNNING &&
+				      !cell->options.recovering &&
 				      now_ms - run->seen_ms >= ORPHAN_KEPT_MS;
 
-			if (run->job && run->stopped_by_ms && now_ms >= run->stopped_by_ms)
+			if (run->job && !run->job->kept && run->stopped_by_ms &&
+			    now_ms >= run->stopped_by_ms)
 				run_release_task(cell, run);
 
 			if (again || orphan)
@@ -544,5 +572,6 @@
 		sweep_job(cell, at->data, now_ms);
 	g_list_free(jobs);
 	sweep_runs(cell, now_ms);
+	keep_sweep(cell, now_ms);
 	g_hash_table_foreach_remove(cell->verdicts, verdict_is_old, &now_ms);
 }
--- /dev/null
+++ b/src/cell/cell_keep.c
@@ -0,0 +1,374 @@
+#include "cell_private.h"
+
+#define LOG_PART "cell"
+#include "event_log.h"
+#include "log.h"
+
+static uint64_t record(struct waxwing_cell *cell, const Waxwing__JournalRecord *made)
+{
+	cell->recorded = cell->options.ops->record(cell->options.data, made);
+	return cell->recorded;
+}
+
+static void tell_stored(struct waxwing_cell *cell, uint64_t issuer, uint64_t job)
+{
+	Waxwing__JobVerdict verdict = WAXWING__JOB_VERDICT__INIT;
+
+	verdict.job = job;
+	verdict.outcome = WAXWING_JOB_STORED;
+	cell->options.ops->verdict(cell->options.data, issuer, &verdict);
+}
+
+static void tell_state(struct waxwing_cell *cell, uint64_t asker, uint64_t job, bool cancel,
+		       enum waxwing_job_state state)
+{
+	Waxwing__JobTold told = WAXWING__JOB_TOLD__INIT;
+
+	told.job = job;
+	told.cancel = cancel;
+	told.state = state;
+	cell->options.ops->told(cell->options.data, asker, &told);
+}
+
+/* Nothing is said of a new job while the journal is read; its issuer offers it again. */
+bool keep_offer(struct waxwing_cell *cell, int64_t now_ms, uint64_t issuer,
+		Waxwing__JobOffer *offer)
+{
+	struct cell_job *job = g_hash_table_lookup(cell->jobs, &offer->job->id);
+
+	(void)now_ms;
+	if (job && job->kept)
+		job->issuer = issuer;
+	if ((job && job->stored) || g_hash_table_contains(cell->finished, &offer->job->id))
+		tell_stored(cell, issuer, offer->job->id);
+	else if (!job && !cell->options.recovering)
+		return false;
+	waxwing__job_offer__free_unpacked(offer, NULL);
+	return true;
+}
+
+bool waxwing_cell_knows(const struct waxwing_cell *cell, uint64_t job)
+{
+	return g_hash_table_contains(cell->jobs, &job) ||
+	       g_hash_table_contains(cell->finished, &job);
+}
+
+void keep_begin(struct waxwing_cell *cell, struct cell_job *job)
+{
+	Waxwing__JournalRecord made = WAXWING__JOURNAL_RECORD__INIT;
+
+	made.job = (Waxwing__Job *)job->spec;
+	job->record_number = record(cell, &made);
+}
+
+static void fill_task(Waxwing__JournalRecord *made, uint64_t id, uint32_t step, uint32_t index,
+		      bool failed)
+{
+	made->has_id = true;
+	made->id = id;
+	made->has_step = true;
+	made->step = step;
+	made->has_index = true;
+	made->index = index;
+	made->has_failed = failed;
+	made->failed = failed;
+}
+
+static void fill_end(Waxwing__JournalRecord *made, uint64_t id, enum waxwing_job_state state)
+{
+	made->has_id = true;
+	made->id = id;
+	made->has_final_state = true;
+	made->final_state = state;
+}
+
+void keep_task(struct waxwing_cell *cell, struct cell_job *job, uint32_t step, uint32_t index,
+	       bool failed)
+{
+	Waxwing__JournalRecord made = WAXWING__JOURNAL_RECORD__INIT;
+
+	fill_task(&made, job->id, step, index, failed);
+	record(cell, &made);
+}
+
+void keep_end(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms,
+	      enum waxwing_job_state state)
+{
+	Waxwing__JournalRecord made = WAXWING__JOURNAL_RECORD__INIT;
+
+	fill_end(&made, job->id, state);
+	job->final_state = state;
+	job->final_number = record(cell, &made);
+	waxwing_event("kept_job_ended", "job=%016llx state=%d age_ms=%lld due_ms=%lld",
+		      (unsigned long long)job->id, state, (long long)(now_ms - job->arrived_ms),
+		      (long long)(job->due_ms - job->arrived_ms));
+	job_close(cell, job, now_ms);
+}
+
+static void finish(struct waxwing_cell *cell, uint64_t id, enum waxwing_job_state state,
+		   int64_t now_ms)
+{
+	struct finished *finished = g_new0(struct finished, 1);
+
+	finished->id = id;
+	finished->state = state;
+	finished->until_ms = now_ms + cell->options.status_ms;
+	g_hash_table_replace(cell->finished, &finished->id, finished);
+}
+
+/* Its end outlasts this owner now, and may be shown. */
+static void end_is_stored(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms)
+{
+	job->final_stored = true;
+	finish(cell, job->id, job->final_state, now_ms);
+	for (guint i = 0; job->cancellers && i < job->cancellers->len; i++)
+		tell_state(cell, g_array_index(job->cancellers, uint64_t, i), job->id, true,
+			   job->final_state);
+	job_leave(cell, job);
+}
+
+static void acceptance_is_stored(struct waxwing_cell *cell, struct cell_job *job)
+{
+	job->stored = true;
+	tell_stored(cell, job->issuer, job->id);
+	if (!job->ended)
+		job_open_steps(cell, job);
+}
+
+void waxwing_cell_stored(struct waxwing_cell *cell, int64_t now_ms, uint64_t number)
+{
+	GList *jobs = g_hash_table_get_values(cell->jobs);
+
+	cell->stored = number;
+	for (GList *at = jobs; at; at = at->next) {
+		struct cell_job *job = at->data;
+
+		if (!job->kept)
+			continue;
+		if (!job->stored && job->record_number <= number)
+			acceptance_is_stored(cell, job);
+		if (job->final_state && !job->final_stored && job->final_number <= number)
+			end_is_stored(cell, job, now_ms);
+	}
+	g_list_free(jobs);
+}
+
+static enum waxwing_job_state state_of(const struct cell_job *job)
+{
+	return job->started ? WAXWING_STATE_RUNNING : WAXWING_STATE_QUEUED;
+}
+
+static void cancel(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms, uint64_t asker)
+{
+	if (!job->cancellers)
+		job->cancellers = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	g_array_append_val(job->cancellers, asker);
+	if (!job->final_state)
+		keep_end(cell, job, now_ms, WAXWING_STATE_CANCELLED);
+}
+
+void waxwing_cell_ask(struct waxwing_cell *cell, int64_t now_ms, uint64_t asker,
+		      const Waxwing__JobAsk *ask)
+{
+	struct cell_job *job = g_hash_table_lookup(cell->jobs, &ask->job);
+	const struct finished *finished = g_hash_table_lookup(cell->finished, &ask->job);
+
+	if (cell->options.recovering || (job && job->kept && !job->stored))
+		return;
+	if (finished)
+		tell_state(cell, asker, ask->job, ask->cancel, finished->state);
+	else if (!job || !job->kept)
+		tell_state(cell, asker, ask->job, ask->cancel, WAXWING_STATE_NONE);
+	else if (ask->cancel)
+		cancel(cell, job, now_ms, asker);
+	else
+		tell_state(cell, asker, ask->job, false, state_of(job));
+}
+
+/* --- recovery --------------------------------------------------------------------------------- */
+
+static void replay_job(struct waxwing_cell *cell, int64_t now_ms, const Waxwing__Job *spec)
+{
+	Waxwing__JobOffer *offer;
+	struct cell_job *job;
+	uint8_t *packed;
+	size_t len;
+
+	if (g_hash_table_contains(cell->jobs, &spec->id) ||
+	    g_hash_table_contains(cell->finished, &spec->id))
+		return;
+	len = waxwing__job__get_packed_size(spec);
+	packed = g_malloc(len);
+	waxwing__job__pack(spec, packed);
+	offer = calloc(1, sizeof(*offer));
+	if (!offer)
+		g_error("no memory for a job");
+	waxwing__job_offer__init(offer);
+	offer->job = waxwing__job__unpack(NULL, len, packed);
+	g_free(packed);
+	job = job_create(cell, now_ms, WAXWING_ISSUER_SELF, offer);
+	job->stored = true;
+	job->unsure_until_ms = cell->created_ms + cell_lease_ms(cell);
+}
+
+static void replay_task(struct cell_job *job, const Waxwing__JournalRecord *made)
+{
+	struct task *task;
+
+	if (!job || made->step >= job->spec->n_steps ||
+	    made->index >= job->steps[made->step].spec->count)
+		return;
+	task = &job->steps[made->step].tasks[made->index];
+	if (made->failed) {
+		task->failures++;
+	} else if (task->state != TASK_DONE) {
+		task->state = TASK_DONE;
+		job->steps[made->step].done++;
+		job->undone--;
+	}
+}
+
+void waxwing_cell_replay(struct waxwing_cell *cell, int64_t now_ms,
+			 const Waxwing__JournalRecord *made)
+{
+	struct cell_job *job = made->has_id ? g_hash_table_lookup(cell->jobs, &made->id) : NULL;
+
+	if (made->job) {
+		replay_job(cell, now_ms, made->job);
+	} else if (made->has_final_state) {
+		finish(cell, made->id, made->final_state, now_ms);
+		if (job) {
+			job->queue->waiting_jobs--;
+			job_free(cell, job);
+		}
+	} else if (made->has_step) {
+		replay_task(job, made);
+	}
+}
+
+/* Runs of former owners have lower numbers than this owner's token. */
+static void raise_runs(const struct waxwing_cell *cell, struct cell_job *job)
+{
+	for (uint32_t i = 0; i < job->spec->n_steps; i++)
+		for (uint32_t k = 0; k < job->steps[i].spec->count; k++)
+			job->steps[i].tasks[k].last_run =
+				(uint32_t)(cell->options.fencing_token & INT32_MAX);
+}
+
+/* What the journal says of a job's tasks may be all, or the last failure allowed, already. */
+static enum waxwing_job_state state_due(const struct cell_job *job)
+{
+	if (!job->undone)
+		return WAXWING_STATE_COMPLETED;
+	for (uint32_t i = 0; i < job->spec->n_steps; i++)
+		for (uint32_t k = 0; k < job->steps[i].spec->count; k++)
+			if (job->steps[i].tasks[k].failures >= job->spec->max_attempts)
+				return WAXWING_STATE_FAILED;
+	return WAXWING_STATE_NONE;
+}
+
+void waxwing_cell_recovered(struct waxwing_cell *cell, int64_t now_ms)
+{
+	GList *jobs = g_hash_table_get_values(cell->jobs);
+
+	cell->options.recovering = false;
+	for (GList *at = jobs; at; at = at->next) {
+		struct cell_job *job = at->data;
+		enum waxwing_job_state due = job->kept ? state_due(job) : WAXWING_STATE_NONE;
+
+		if (!job->kept)
+			continue;
+		raise_runs(cell, job);
+		if (due) {
+			keep_end(cell, job, now_ms, due);
+			continue;
+		}
+		job_open_steps(cell, job);
+		job_adopt_runs(cell, job);
+	}
+	g_list_free(jobs);
+	for (guint i = 0; i < cell->list->len; i++)
+		((struct executor *)cell->list->pdata[i])->hold_wanted = true;
+	waxwing_event("cell_recovered", "cell=%s jobs=%u finished=%u", cell->options.name,
+		      g_hash_table_size(cell->jobs), g_hash_table_size(cell->finished));
+}
+
+/* --- snapshot --------------------------------------------------------------------------------- */
+
+static void add_record(GPtrArray *records, const Waxwing__JournalRecord *made)
+{
+	size_t len = waxwing__journal_record__get_packed_size(made);
+	uint8_t *packed = g_malloc(len);
+
+	waxwing__journal_record__pack(made, packed);
+	g_ptr_array_add(records, waxwing__journal_record__unpack(NULL, len, packed));
+	g_free(packed);
+}
+
+static void add_task(GPtrArray *records, const struct cell_job *job, uint32_t step, uint32_t index)
+{
+	const struct task *task = &job->steps[step].tasks[index];
+	Waxwing__JournalRecord done = WAXWING__JOURNAL_RECORD__INIT;
+	Waxwing__JournalRecord failed = WAXWING__JOURNAL_RECORD__INIT;
+
+	fill_task(&failed, job->id, step, index, true);
+	for (uint32_t i = 0; i < task->failures; i++)
+		add_record(records, &failed);
+	fill_task(&done, job->id, step, index, false);
+	if (task->state == TASK_DONE && !job->ended)
+		add_record(records, &done);
+}
+
+static void add_job(GPtrArray *records, const struct cell_job *job)
+{
+	Waxwing__JournalRecord made = WAXWING__JOURNAL_RECORD__INIT;
+	Waxwing__JournalRecord end = WAXWING__JOURNAL_RECORD__INIT;
+
+	made.job = (Waxwing__Job *)job->spec;
+	add_record(records, &made);
+	for (uint32_t i = 0; i < job->spec->n_steps; i++)
+		for (uint32_t k = 0; k < job->steps[i].spec->count; k++)
+			add_task(records, job, i, k);
+	if (!job->final_state)
+		return;
+	fill_end(&end, job->id, job->final_state);
+	add_record(records, &end);
+}
+
+void waxwing_cell_snapshot(const struct waxwing_cell *cell, Waxwing__JournalSegment *segment)
+{
+	GPtrArray *records = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, cell->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (((struct cell_job *)value)->kept)
+			add_job(records, value);
+	g_hash_table_iter_init(&iter, cell->finished);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct finished *finished = value;
+		Waxwing__JournalRecord end = WAXWING__JOURNAL_RECORD__INIT;
+
+		fill_end(&end, finished->id, finished->state);
+		add_record(records, &end);
+	}
+	segment->n_records = records->len;
+	segment->records = calloc(MAX(records->len, 1), sizeof(*segment->records));
+	if (!segment->records)
+		g_error("no memory for a snapshot");
+	for (guint i = 0; i < records->len; i++)
+		segment->records[i] = records->pdata[i];
+	g_ptr_array_free(records, TRUE);
+}
+
+static gboolean finished_is_old(gpointer key, gpointer value, gpointer now_ms)
+{
+	(void)key;
+	return ((const struct finished *)value)->until_ms <= *(int64_t *)now_ms;
+}
+
+void keep_sweep(struct waxwing_cell *cell, int64_t now_ms)
+{
+	g_hash_table_foreach_remove(cell->finished, finished_is_old, &now_ms);
+}
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -66,6 +66,14 @@
 	bool started;
 	bool late; /* past its due time: others come first */
 	bool ended; /* its verdict is out; runs are being stopped */
+	/* of one that must be kept */
+	bool kept;
+	bool stored; /* its acceptance is */
+	bool final_stored;
+	uint64_t record_number; /* of its acceptance */
+	uint64_t final_number; /* of its end */
+	enum waxwing_job_state final_state; /* NONE: it has not ended */
+	GArray *cancellers; /* uint64_t: askers that wait for the cancel to be stored */
 	GSequenceIter *place; /* among the jobs that have ready tasks; null: none */
 };
 
@@ -76,6 +84,12 @@
 	uint32_t waiting_jobs; /* no task has started */
 };
 
+/* An end that may be acknowledged once a record is stored. */
+struct ack_wait {
+	uint64_t end;
+	uint64_t record;
+};
+
 struct executor {
 	char *id;
 	char *address;
@@ -100,11 +114,13 @@
 	bool silent; /* the last call had no answer */
 	int64_t hold_sent_ms;
 	int64_t hold_next_ms; /* not sooner: after silence */
-	int64_t ack_due_ms; /* ends are acknowledged by then, though nothing runs */
+	int64_t answered_ms; /* last answer to a hold */
 	int64_t leased_until_ms; /* leases given there have run out by then */
 	int64_t clock_ms; /* executor's clock at clock_at_ms */
 	int64_t clock_at_ms;
 	uint64_t ended_upto; /* ends taken */
+	uint64_t noted_upto; /* ends that may be acknowledged */
+	GArray *ack_waits; /* struct ack_wait, in order */
 	uint64_t acked_upto; /* said to the executor, and answered */
 	uint64_t acking; /* in the hold that is out */
 	int64_t full_until_ms; /* it said that it has no room */
@@ -132,6 +148,13 @@
 	int64_t percent_ms; /* when percent last rose */
 };
 
+/* A job that has ended. */
+struct finished {
+	uint64_t id;
+	enum waxwing_job_state state;
+	int64_t until_ms;
+};
+
 struct verdict_kept {
 	int64_t until_ms;
 	uint64_t issuer;
@@ -148,6 +171,9 @@
 	GHashTable *kinds;
 	GHashTable *queues;
 	GHashTable *verdicts; /* job -> verdict_kept */
+	GHashTable *finished; /* id -> finished */
+	uint64_t recorded; /* number of the last record */
+	uint64_t stored; /* records up to it are stored */
 	int64_t created_ms;
 	int64_t swept_ms;
 	uint64_t next_life;
@@ -208,6 +234,26 @@
 	     uint32_t retry_after_ms);
 void cell_sweep_jobs(struct waxwing_cell *cell, int64_t now_ms);
 
+struct cell_job *job_create(struct waxwing_cell *cell, int64_t now_ms, uint64_t issuer,
+			    Waxwing__JobOffer *offer);
+void job_open_steps(struct waxwing_cell *cell, struct cell_job *job);
+void job_adopt_runs(struct waxwing_cell *cell, struct cell_job *job);
+void job_close(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms);
+void job_leave(struct waxwing_cell *cell, struct cell_job *job); /* frees it if nothing is left */
+void job_answer_offer(struct waxwing_cell *cell, int64_t now_ms, uint64_t issuer,
+		      Waxwing__JobOffer *offer, enum waxwing_job_outcome outcome,
+		      enum waxwing_error_code reason, uint32_t retry_after_ms);
+
+/* cell_keep.c: jobs that must be kept */
+bool keep_offer(struct waxwing_cell *cell, int64_t now_ms, uint64_t issuer,
+		Waxwing__JobOffer *offer); /* false: it is a new job */
+void keep_begin(struct waxwing_cell *cell, struct cell_job *job);
+void keep_task(struct waxwing_cell *cell, struct cell_job *job, uint32_t step, uint32_t index,
+	       bool failed);
+void keep_end(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms,
+	      enum waxwing_job_state state);
+void keep_sweep(struct waxwing_cell *cell, int64_t now_ms);
+
 /* cell_place.c */
 void cell_place(struct waxwing_cell *cell, int64_t now_ms);
 double cell_capacity(const struct waxwing_cell *cell, const char *service, int64_t now_ms);
--- a/src/cell/cell_run.c
+++ b/src/cell/cell_run.c
@@ -77,6 +77,7 @@
 		return; /* stays foreign, and is stopped */
 	}
 	run->executor->foreign--;
+	run->seen_ms = 0;
 	run->job = job;
 	run->needs = step_needs(job->steps[run->name.step].spec);
 	capacity_add(&run->executor->used, &run->needs);
@@ -152,8 +153,7 @@
 	job->out--;
 	if (job->ended) {
 		job->steps[step].tasks[index].state = TASK_DONE;
-		if (!job->out)
-			job_free(cell, job);
+		job_leave(cell, job);
 	} else if (end == WAXWING_RUN_DONE) {
 		job_task_done(cell, job, step, index, now_ms);
 	} else if (end == WAXWING_RUN_FAILED) {
@@ -180,8 +180,7 @@
 		return;
 	job->out--;
 	if (job->ended) {
-		if (!job->out)
-			job_free(cell, job);
+		job_leave(cell, job);
 		return;
 	}
 	job_task_ready(cell, job, step, index);
@@ -256,7 +255,7 @@
 
 	if (!run || run->state != RUN_STOPPING)
 		return;
-	if (!answered)
+	if (!answered || run->stopped_by_ms)
 		return; /* sent again by the sweep, until the lease has run out */
 	/*
 	 * The run ends within the stop's time and a later start of it is rejected. Holds list the end
@@ -277,6 +276,6 @@
 	job->out--;
 	if (!job->ended)
 		job_task_ready(cell, job, run->name.step, run->name.index);
-	else if (!job->out)
-		job_free(cell, job);
+	else
+		job_leave(cell, job);
 }
--- a/src/node/claim.c
+++ b/src/node/claim.c
@@ -33,6 +33,8 @@
 	uint64_t
 		replaces; /* revision of a released entry that a claim replaces; 0: there is none */
 	int64_t next_ms; /* of a renewal or a claim */
+	int64_t sent_ms; /* of the call that is out */
+	int64_t renewed_ms; /* when the lease was asked for or renewed last, with success */
 	enum claim_call out;
 	bool releasing;
 	bool leaving;
@@ -201,6 +203,7 @@
 static struct waxwing_store_reply reply_to(struct waxwing_claim *claim, enum claim_call call)
 {
 	claim->out = call;
+	claim->sent_ms = now(claim);
 	return (struct waxwing_store_reply){ answered, claim };
 }
 
@@ -255,6 +258,8 @@
 static void take_keep(struct waxwing_claim *claim, const struct waxwing_store_answer *answer)
 {
 	claim->next_ms = now(claim) + claim->options.ttl_ms / RENEWALS_IN_TTL;
+	if (answer->end == WAXWING_STORE_OK)
+		claim->renewed_ms = claim->sent_ms;
 	if (answer->end != WAXWING_STORE_NOT_FOUND)
 		return;
 	waxwing_event("cell_lease_ended", "cell=%s token=%llu", claim->options.cell,
@@ -275,10 +280,12 @@
 	}
 	switch (call) {
 	case CALL_LEASE:
-		if (answer->end == WAXWING_STORE_OK)
+		if (answer->end == WAXWING_STORE_OK) {
 			claim->lease = answer->lease;
-		else
+			claim->renewed_ms = claim->sent_ms;
+		} else {
 			claim->next_ms = now(claim) + CLAIM_AGAIN_MS;
+		}
 		break;
 	case CALL_CLAIM:
 		take_claim(claim, answer);
@@ -340,6 +347,12 @@
 	return &claim->owner;
 }
 
+bool waxwing_claim_is_sure(const struct waxwing_claim *claim)
+{
+	return claim->owner.known && claim->owner.self && claim->lease &&
+	       now(claim) - claim->renewed_ms < claim->options.ttl_ms;
+}
+
 bool waxwing_claim_releasing(const struct waxwing_claim *claim)
 {
 	return claim->releasing;
--- a/src/node/claim.h
+++ b/src/node/claim.h
@@ -72,6 +72,9 @@
 
 const struct waxwing_cell_owner_view *waxwing_claim_owner(const struct waxwing_claim *claim);
 
+/** True when the cell is this node's for sure: its lease was renewed and cannot have ended yet. */
+bool waxwing_claim_is_sure(const struct waxwing_claim *claim);
+
 /** True while a release has not been answered by the store. */
 bool waxwing_claim_releasing(const struct waxwing_claim *claim);
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -134,6 +134,7 @@
 			node_owner_run(node->cells->pdata[i], now_ms);
 	}
 	node_jobs_tell(node);
+	node_asks_tell(node);
 }
 
 static bool owns_cell(const struct waxwing_node *node)
@@ -162,6 +163,7 @@
 			waxwing_claim_synced(((struct node_cell *)node->cells->pdata[i])->claim);
 	node_cells_run(node, now_ms);
 	node_jobs_run(node, now_ms);
+	node_asks_run(node, now_ms);
 	waxwing_node_settle(node);
 }
 
@@ -175,6 +177,8 @@
 	node->link = options->link;
 	node->next_ownership = 1;
 	node->cells = g_ptr_array_new();
+	node->asks = g_ptr_array_new_with_free_func(g_free);
+	node->tolds = g_ptr_array_new_with_free_func(g_free);
 	node->verdicts = g_ptr_array_new_with_free_func(g_free);
 	node->pendings =
 		g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, node_pending_free);
@@ -199,6 +203,8 @@
 	waxwing_routing_destroy(node->routing);
 	g_hash_table_destroy(node->pendings);
 	g_ptr_array_free(node->verdicts, TRUE);
+	g_ptr_array_free(node->asks, TRUE);
+	g_ptr_array_free(node->tolds, TRUE);
 	if (node->entries)
 		g_hash_table_destroy(node->entries);
 	g_free(node);
@@ -233,7 +239,7 @@
 
 bool waxwing_node_idle(const struct waxwing_node *node)
 {
-	if (g_hash_table_size(node->pendings))
+	if (g_hash_table_size(node->pendings) || node->asks->len)
 		return false;
 	for (guint i = 0; i < node->cells->len; i++)
 		if (waxwing_claim_releasing(((struct node_cell *)node->cells->pdata[i])->claim))
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -32,6 +32,8 @@
 	double cpu_share; /**< cores of this node: those with more of them claim cells first */
 	uint32_t lease_most_ms; /**< longest lease that executors give */
 	uint32_t stop_ms; /**< longest time that a stop takes */
+	uint32_t status_ms; /**< how long the state of an ended job is told */
+	uint32_t value_bytes_most; /**< of an entry in the store */
 	uint32_t ttl_least_ms; /**< shortest lease that the store gives */
 	double far_factor; /**< how much longer a task takes away from its data */
 	/** Reads an executor's entry; false (with a reason logged) when it names none to use. */
@@ -44,6 +46,16 @@
 	const char *executor_prefix; /**< of the executors' keys; the rest is their id */
 };
 
+/** A caller that asks for the state of a job, or cancels it. Owned by the caller until it is answered. */
+struct waxwing_ask_ticket {
+	/** @answered false: nobody could say in time. */
+	void (*answer)(struct waxwing_ask_ticket *ticket, bool answered,
+		       enum waxwing_job_state state);
+	uint64_t job;
+	bool cancel;
+	uint32_t patience_ms; /**< how long the caller waits */
+};
+
 /** What a caller is told in the end. */
 struct waxwing_node_answer {
 	enum waxwing_job_outcome outcome;
@@ -85,6 +97,12 @@
 void waxwing_node_submit(struct waxwing_node *node, Waxwing__Job *job,
 			 struct waxwing_ticket *ticket);
 
+/** Asks the owner of the job's cell; @ticket is answered later, once, never from within the call. */
+void waxwing_node_ask(struct waxwing_node *node, struct waxwing_ask_ticket *ticket);
+
+/** The caller has gone; @ticket is not answered any more. */
+void waxwing_node_stop_asking(struct waxwing_node *node, struct waxwing_ask_ticket *ticket);
+
 /** The caller has gone; @ticket is not answered any more. */
 void waxwing_node_withdraw(struct waxwing_node *node, struct waxwing_ticket *ticket);
 
--- a/src/node/node_cells.c
+++ b/src/node/node_cells.c
@@ -72,6 +72,7 @@
 		at->node = node;
 		at->name = g_strdup(node->options.zones[i]);
 		at->claim = waxwing_claim_create(&options);
+		at->claim_key = waxwing_claim_key(at->name);
 		at->waiting = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 		g_ptr_array_add(node->cells, at);
 	}
@@ -83,6 +84,8 @@
 		struct node_cell *at = node->cells->pdata[i];
 
 		waxwing_cell_destroy(at->cell);
+		waxwing_journal_destroy(at->journal);
+		g_free(at->claim_key);
 		if (at->issuers)
 			g_hash_table_destroy(at->issuers);
 		waxwing_claim_destroy(at->claim);
@@ -231,6 +234,8 @@
 		take_news(at->node, message->pong->owners[i]);
 	if (message->has_accepted)
 		node_jobs_accepted(at, message->accepted);
+	if (message->told)
+		node_asks_told(at->node, message->told);
 	if (message->verdict)
 		node_jobs_verdict(at, message->verdict);
 }
--- a/src/node/node_jobs.c
+++ b/src/node/node_jobs.c
@@ -6,6 +6,8 @@
 
 /* An offer whose receipt is not confirmed is sent again after this. */
 #define OFFER_AGAIN_MS 120
+/* The same of a job that must be kept: its owner may be reading the journal, and says nothing then. */
+#define KEPT_AGAIN_MS 250
 /* An accepted job's verdict may have been lost: the offer, sent again, has it repeated. */
 #define VERDICT_AGAIN_MS 1000
 /* A job for which no cell can be reached is refused after this. */
@@ -18,6 +20,9 @@
 /* Share of its run time that a job is expected to be held up by room that is lacking. */
 #define LACK_COST 0.5
 
+/* Spreads jobs' ids over cells, whatever ids callers choose: 2^64 over the golden ratio. */
+#define HOME_MULTIPLIER 0x9e3779b97f4a7c15ULL
+
 /* A verdict, kept until the cells have done their work. */
 struct verdict_copy {
 	struct node_cell *at;
@@ -125,7 +130,7 @@
 		g_error("no memory for an offer");
 	*own = fields;
 	own->job = copy_job(pending->job);
-	pending->accepted = true;
+	pending->accepted = true; /* a message to oneself is not lost */
 	node_owner_offer(at, WAXWING_ISSUER_SELF, own);
 }
 
@@ -134,7 +139,7 @@
 	struct node_cell *at = pending->cell;
 	Waxwing__NodeMessage message = WAXWING__NODE_MESSAGE__INIT;
 
-	if (!at)
+	if (!at || pending->job->kept)
 		return;
 	if (at->cell) {
 		waxwing_cell_withdraw(at->cell, node_now(at->node), pending->id);
@@ -160,7 +165,7 @@
 		      told->outcome, waxwing_error_name(told->reason), told->may_have_run,
 		      (long long)(node_now(node) - pending->arrived_ms),
 		      (unsigned long long)pending->job->routing_version);
-	if (told->outcome == WAXWING_JOB_COMPLETED)
+	if (told->outcome == WAXWING_JOB_COMPLETED || told->outcome == WAXWING_JOB_STORED)
 		node->completed++;
 	else
 		node->not_completed++;
@@ -174,9 +179,20 @@
 	node_pending_free(pending);
 }
 
+/* Every node finds a kept job where it was stored. */
+struct node_cell *node_home_cell(const struct waxwing_node *node, uint64_t job)
+{
+	return node->cells->pdata[(job * HOME_MULTIPLIER >> 32) % node->cells->len];
+}
+
 static void offer_somewhere(struct waxwing_node *node, struct pending *pending, int64_t now_ms)
 {
-	pending->cell = choose_cell(node, pending->job, NULL, now_ms);
+	struct node_cell *home = node_home_cell(node, pending->id);
+
+	if (!pending->job->kept)
+		pending->cell = choose_cell(node, pending->job, NULL, now_ms);
+	else
+		pending->cell = node_cell_reachable(home, now_ms) ? home : NULL;
 	if (!pending->cell)
 		return;
 	pending->accepted = false;
@@ -248,7 +264,7 @@
 {
 	struct node_cell *other;
 
-	if (pending->refused_once)
+	if (pending->refused_once || pending->job->kept)
 		return false;
 	other = choose_cell(node, pending->job, pending->cell, now_ms);
 	if (!other || cell_cost(other, pending->job) + OTHER_CELL_GAIN_MS >
@@ -276,7 +292,8 @@
 	if (!pending || pending->cell != copy->at)
 		return;
 	if (told.outcome == WAXWING_JOB_REFUSED) {
-		told.may_have_run = pending->may_have_run;
+		/* an owner knows whether a former one has stored a job that must be kept */
+		told.may_have_run = pending->may_have_run && !pending->job->kept;
 		if (!told.may_have_run && try_other_cell(node, pending, node_now(node)))
 			return;
 	}
@@ -339,12 +356,15 @@
 		pending->may_have_run = true;
 		pending->accepted = false;
 		offer(pending, now_ms);
+	} else if (reachable && pending->job->kept &&
+		   now_ms - pending->offered_ms >= KEPT_AGAIN_MS) {
+		offer(pending, now_ms);
 	} else if (reachable && !at->cell && !pending->accepted &&
 		   now_ms - pending->offered_ms >= OFFER_AGAIN_MS) {
 		offer(pending, now_ms);
 	} else if (reachable && !at->cell && now_ms - pending->offered_ms >= VERDICT_AGAIN_MS) {
 		offer(pending, now_ms);
-	} else if (!reachable && now_ms >= orders_until_ms) {
+	} else if (!reachable && now_ms >= orders_until_ms && !pending->job->kept) {
 		move(node, pending, now_ms);
 	}
 }
--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -10,6 +10,9 @@
 #define HOLD_TIMEOUT_MS	 350
 /* An offer that was longer on its way is not taken: its sender may have given it up by now. */
 #define OFFER_AGE_MOST_MS 400
+/* Records that wait so long tell that the store takes none; new jobs that must be kept are refused. */
+#define JOURNAL_STUCK_MS       800
+#define JOURNAL_STUCK_RETRY_MS 2000
 /* Times on two machines' clocks may run apart by so much between two pings. */
 #define CLOCK_SLACK_MS 20
 
@@ -149,6 +152,31 @@
 	at->node->link->ops->answer(at->node->link, issuer, &message);
 }
 
+static uint64_t add_record(void *data, const Waxwing__JournalRecord *record)
+{
+	struct node_cell *at = data;
+
+	return waxwing_journal_add(at->journal, record);
+}
+
+static void tell_state(void *data, uint64_t asker, const Waxwing__JobTold *told)
+{
+	struct node_cell *at = data;
+	Waxwing__NodeMessage message = WAXWING__NODE_MESSAGE__INIT;
+
+	/* a successor that is not known here yet may have accepted the job */
+	if (told->state == WAXWING_STATE_NONE && !waxwing_claim_is_sure(at->claim))
+		return;
+	if (asker == WAXWING_ISSUER_SELF) {
+		node_asks_told(at->node, told);
+		return;
+	}
+	message.cell = at->name;
+	message.fencing_token = waxwing_claim_owner(at->claim)->fencing_token;
+	message.told = (Waxwing__JobTold *)told;
+	at->node->link->ops->answer(at->node->link, asker, &message);
+}
+
 /* Only noted here: the cell is in the midst of its work. */
 static void note_fenced(void *data, const char *executor)
 {
@@ -167,9 +195,66 @@
 	.stop = order_stop,
 	.hold = order_hold,
 	.verdict = give_verdict,
+	.record = add_record,
+	.told = tell_state,
 	.fenced = note_fenced,
 };
 
+static void journal_replay(void *data, const Waxwing__JournalRecord *record)
+{
+	struct node_cell *at = data;
+
+	waxwing_cell_replay(at->cell, node_now(at->node), record);
+}
+
+static void journal_recovered(void *data)
+{
+	struct node_cell *at = data;
+
+	waxwing_cell_recovered(at->cell, node_now(at->node));
+	at->node->touched = true;
+}
+
+static void journal_stored(void *data, uint64_t number)
+{
+	struct node_cell *at = data;
+
+	waxwing_cell_stored(at->cell, node_now(at->node), number);
+	at->node->touched = true;
+}
+
+static void journal_fenced(void *data)
+{
+	note_fenced(data, "journal");
+}
+
+static void journal_snapshot(void *data, Waxwing__JournalSegment *segment)
+{
+	struct node_cell *at = data;
+
+	waxwing_cell_snapshot(at->cell, segment);
+}
+
+static struct waxwing_journal *open_journal(struct node_cell *at, uint64_t token)
+{
+	struct waxwing_journal_options options = {
+		.store = at->node->options.store,
+		.clock = at->node->clock,
+		.cell = at->name,
+		.guard_key = at->claim_key,
+		.fencing_token = token,
+		.value_bytes_most = at->node->options.value_bytes_most,
+		.replay = journal_replay,
+		.recovered = journal_recovered,
+		.stored = journal_stored,
+		.fenced = journal_fenced,
+		.snapshot = journal_snapshot,
+		.data = at,
+	};
+
+	return waxwing_journal_create(&options);
+}
+
 static const char *id_of(const struct waxwing_node *node, const char *key)
 {
 	size_t len = strlen(node->options.executor_prefix);
@@ -258,14 +343,18 @@
 		.far_factor = node->options.far_factor,
 		.took_over = true,
 		.list_incomplete = true,
+		.recovering = true,
+		.status_ms = node->options.status_ms,
 	};
 
 	if (at->cell) {
 		waxwing_cell_set_token(at->cell, token);
+		waxwing_journal_set_token(at->journal, token);
 		return;
 	}
 	at->ownership = node->next_ownership++;
 	at->cell = waxwing_cell_create(node_now(node), &options);
+	at->journal = open_journal(at, token);
 	at->issuers = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	node->takeovers++;
 	tell_entries(node);
@@ -294,6 +383,8 @@
 	at->issuers = NULL;
 	waxwing_cell_destroy(at->cell);
 	at->cell = NULL;
+	waxwing_journal_destroy(at->journal);
+	at->journal = NULL;
 	waxwing_event("cell_given_up", "cell=%s token=%llu", at->name,
 		      (unsigned long long)message.fencing_token);
 }
@@ -348,12 +439,34 @@
 		waxwing_cell_forget_issuer(at->cell, now_ms, issuer->sender);
 	}
 	waxwing_cell_run(at->cell, now_ms);
+	waxwing_journal_run(at->journal);
 	if (at->fenced_token && at->fenced_token == waxwing_claim_owner(at->claim)->fencing_token)
 		waxwing_claim_fenced(at->claim);
 }
 
+/* The store takes no records now: the job is known not to be accepted. */
+static bool refuse_unkept(struct node_cell *at, uint64_t sender, Waxwing__JobOffer *offer)
+{
+	Waxwing__JobVerdict verdict = WAXWING__JOB_VERDICT__INIT;
+
+	if (!offer->job->kept || waxwing_journal_delay_ms(at->journal) < JOURNAL_STUCK_MS ||
+	    waxwing_cell_knows(at->cell, offer->job->id))
+		return false;
+	verdict.job = offer->job->id;
+	verdict.outcome = WAXWING_JOB_REFUSED;
+	verdict.has_reason = true;
+	verdict.reason = WAXWING_ERROR_PLATFORM_DOWN;
+	verdict.has_retry_after_ms = true;
+	verdict.retry_after_ms = JOURNAL_STUCK_RETRY_MS;
+	give_verdict(at, sender, &verdict);
+	waxwing__job_offer__free_unpacked(offer, NULL);
+	return true;
+}
+
 void node_owner_offer(struct node_cell *at, uint64_t sender, Waxwing__JobOffer *offer)
 {
+	if (refuse_unkept(at, sender, offer))
+		return;
 	waxwing_cell_offer(at->cell, node_now(at->node), sender, offer);
 	at->node->touched = true;
 }
@@ -447,11 +560,13 @@
 			      (unsigned long long)offer->job->id, (long long)age_ms);
 		return;
 	}
+	/* a job that must be kept is taken once it is stored */
 	answer.cell = at->name;
 	answer.fencing_token = message->fencing_token;
-	answer.has_accepted = true;
+	answer.has_accepted = !offer->job->kept;
 	answer.accepted = offer->job->id;
-	at->node->link->ops->answer(at->node->link, sender, &answer);
+	if (answer.has_accepted)
+		at->node->link->ops->answer(at->node->link, sender, &answer);
 	message->offer = NULL;
 	node_owner_offer(at, sender, offer);
 }
@@ -474,6 +589,8 @@
 		answer_ping(at, sender, message->ping);
 	if (message->has_withdraw)
 		waxwing_cell_withdraw(at->cell, node_now(at->node), message->withdraw);
+	if (message->ask)
+		waxwing_cell_ask(at->cell, node_now(at->node), sender, message->ask);
 	if (message->offer)
 		take_offer(at, sender, message);
 	at->node->touched = true;
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -2,6 +2,7 @@
 #define WAXWING_NODE_PRIVATE_H
 
 #include "claim.h"
+#include "journal.h"
 #include "clock.h"
 #include "link.h"
 #include "node.h"
@@ -38,6 +39,8 @@
 	GHashTable *waiting; /* queue -> jobs */
 	/* as its owner */
 	struct waxwing_cell *cell; /* null: not the owner */
+	struct waxwing_journal *journal; /* of the owned cell */
+	char *claim_key;
 	uint64_t ownership; /* tells answers to orders of an earlier one */
 	GHashTable *issuers; /* sender -> struct issuer */
 	bool list_checked; /* the list of executors is known to be complete */
@@ -76,6 +79,8 @@
 	struct waxwing_routing *routing;
 	GPtrArray *cells; /* struct node_cell */
 	GHashTable *pendings; /* id -> pending */
+	GPtrArray *asks; /* struct asking */
+	GPtrArray *tolds; /* struct told_copy: to be told once the cells have done their work */
 	GHashTable *entries; /* executor key -> struct entry_copy */
 	uint64_t incarnation;
 	uint64_t next_ownership;
@@ -116,6 +121,12 @@
 void node_jobs_tell(struct waxwing_node *node);
 void node_jobs_accepted(struct node_cell *at, uint64_t job);
 void node_pending_free(gpointer value);
+struct node_cell *node_home_cell(const struct waxwing_node *node, uint64_t job);
+
+/* node_asks.c */
+void node_asks_run(struct waxwing_node *node, int64_t now_ms);
+void node_asks_told(struct waxwing_node *node, const Waxwing__JobTold *told);
+void node_asks_tell(struct waxwing_node *node);
 
 static inline int64_t node_now(const struct waxwing_node *node)
 {
--- a/src/node/store.h
+++ b/src/node/store.h
@@ -58,6 +58,19 @@
 	bool remove;
 };
 
+/** Puts a new key under the condition that another one still stands, and removes old ones. */
+struct waxwing_store_append {
+	const char *guard_key;
+	uint64_t guard_revision;
+	const char *key; /**< must not exist yet */
+	struct waxwing_str value;
+	const char *const *removes;
+	size_t remove_count; /**< at most WAXWING_STORE_REMOVES_MOST */
+};
+
+/** Keys that one append may remove: the store takes 32 entries in all. */
+#define WAXWING_STORE_REMOVES_MOST 28
+
 struct waxwing_store_ops {
 	void (*range)(struct waxwing_store *store, const char *prefix, const char *after_key,
 		      struct waxwing_store_reply reply);
@@ -65,6 +78,9 @@
 		      uint32_t wait_ms, struct waxwing_store_reply reply);
 	void (*change)(struct waxwing_store *store, const struct waxwing_store_change *change,
 		       struct waxwing_store_reply reply);
+	/** After a conflict, the answer's items show the guard and the key as they stand. */
+	void (*append)(struct waxwing_store *store, const struct waxwing_store_append *append,
+		       struct waxwing_store_reply reply);
 	void (*lease)(struct waxwing_store *store, uint32_t ttl_ms,
 		      struct waxwing_store_reply reply);
 	void (*keep)(struct waxwing_store *store, uint64_t lease, struct waxwing_store_reply reply);
--- a/test/test_node_faults.c
+++ b/test/test_node_faults.c
@@ -31,6 +31,7 @@
 {
 	world_run(world, CALM_MS);
 	g_assert_cmpuint(world_count(world, CLIENT_WAITS), ==, 0);
+	g_assert_cmpuint(world_count(world, CLIENT_STORED), ==, 0);
 	for (int i = 0; i < EXECUTORS; i++)
 		g_assert_cmpuint(world->executors[i].runs->len, ==, 0);
 	assert_promises(world);
@@ -393,6 +394,87 @@
 		world->late_share = 0;
 }
 
+static void test_kept_calm(void)
+{
+	struct world *world = begin(1);
+
+	world->kept_share = 1;
+	serve(world, 6000);
+	assert_all_answered(world);
+	g_assert_cmpuint(world_count(world, CLIENT_SERVED), ==, g_hash_table_size(world->jobs));
+	world_destroy(world);
+}
+
+/* Everything is killed at once: what was accepted is found in the store and at the executors. */
+static void test_kept_all_killed(void)
+{
+	for (uint32_t seed = 1; seed <= 10; seed++) {
+		struct world *world = begin(seed);
+
+		world->kept_share = 1;
+		serve(world, 2000);
+		kill_all(world);
+		world_run(world, g_rand_int_range(world->random, 50, 2500));
+		for (int i = 0; i < NODES; i++)
+			node_start(world, i);
+		serve(world, 3000);
+		assert_all_answered(world);
+		world_destroy(world);
+	}
+}
+
+/* Writes that take effect without an answer are settled by the next try. */
+static void test_kept_lost_answers(void)
+{
+	struct world *world = begin(3);
+
+	world->kept_share = 1;
+	world->store_lost_share = 0.3;
+	serve(world, 5000);
+	world->store_lost_share = 0;
+	assert_all_answered(world);
+	world_destroy(world);
+}
+
+/* Segments are replaced by snapshots, and an owner that comes later finds all in them. */
+static void test_kept_snapshot(void)
+{
+	struct world *world = begin(4);
+	GHashTableIter iter;
+	gpointer key;
+	guint segments = 0;
+
+	world->kept_share = 1;
+	serve(world, 20000);
+	g_hash_table_iter_init(&iter, world->entries);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		segments += g_str_has_prefix(key, "journal/");
+	g_assert_cmpuint(segments, <, 3 * 400);
+	kill_all(world);
+	world_run(world, 1500);
+	for (int i = 0; i < NODES; i++)
+		node_start(world, i);
+	serve(world, 1000);
+	assert_all_answered(world);
+	world_destroy(world);
+}
+
+static void test_kept_owner_frozen(void)
+{
+	for (uint32_t seed = 1; seed <= 10; seed++) {
+		struct world *world = begin(seed);
+		int owner = owner_of(world, 1);
+
+		world->kept_share = 1;
+		serve(world, 1000);
+		world->nodes[owner].frozen_until_ms =
+			world_now(world) + g_rand_int_range(world->random, 300, 4500);
+		serve(world, 6000);
+		assert_all_answered(world);
+		world_destroy(world);
+	}
+}
+
 static uint32_t seed_or(const char *variable, uint32_t otherwise)
 {
 	const char *text = g_getenv(variable);
@@ -410,6 +492,7 @@
 		struct world *world = begin(seed);
 
 		g_test_message("seed %u", seed);
+		world->kept_share = seed % 2 ? 0.4 : 0;
 		for (int64_t passed = 0; passed < MIX_MS; passed += FAULT_MS) {
 			begin_fault(world);
 			serve(world, FAULT_MS);
@@ -440,6 +523,11 @@
 	g_test_add_func("/node/executor_restarts", test_executor_restarts);
 	g_test_add_func("/node/leave", test_leave);
 	g_test_add_func("/node/all_killed", all_killed);
+	g_test_add_func("/node/kept_calm", test_kept_calm);
+	g_test_add_func("/node/kept_all_killed", test_kept_all_killed);
+	g_test_add_func("/node/kept_lost_answers", test_kept_lost_answers);
+	g_test_add_func("/node/kept_snapshot", test_kept_snapshot);
+	g_test_add_func("/node/kept_owner_frozen", test_kept_owner_frozen);
 	g_test_add_func("/node/mix", test_mix);
 	return g_test_run();
 }
