--- a/src/cell/cell_keep.c
+++ b/src/cell/cell_keep.c
@@ -354,7 +354,7 @@
 		add_record(records, &end);
 	}
 	segment->n_records = records->len;
-	segment->records = calloc(MAX(records->len, 1), sizeof(*segment->records));
+	segment->records = calloc(MAX(records->len, 1), sizeof(Waxwing__JournalRecord *));
 	if (!segment->records)
 		g_error("no memory for a snapshot");
 	for (guint i = 0; i < records->len; i++)
--- a/test/node_world.h
+++ b/test/node_world.h
@@ -249,17 +249,22 @@
 	GArray *items; /* struct waxwing_store_item, with copies */
 };
 
-static void store_call_free(struct store_call *call)
+static void clear_items(struct store_call *call)
 {
-	for (guint i = 0; call->items && i < call->items->len; i++) {
+	for (guint i = 0; i < call->items->len; i++) {
 		struct waxwing_store_item *item =
 			&g_array_index(call->items, struct waxwing_store_item, i);
 
 		g_free((char *)item->key.data);
 		g_free((char *)item->value.data);
 	}
-	if (call->items)
-		g_array_free(call->items, TRUE);
+	g_array_set_size(call->items, 0);
+}
+
+static void store_call_free(struct store_call *call)
+{
+	clear_items(call);
+	g_array_free(call->items, TRUE);
 	g_free(call->prefix);
 	g_free(call->key);
 	g_free(call->value);
@@ -310,8 +315,8 @@
 	bool lost = call->unanswered || at->store_cut || !zones_meet(world, at->zone, -1);
 
 	call->answer.end = lost ? WAXWING_STORE_UNKNOWN : end;
-	if (lost && call->items)
-		g_array_set_size(call->items, 0);
+	if (lost)
+		clear_items(call);
 	world_later(world, lost ? CALL_TIMEOUT_MS : STORE_WAY_MS, store_reply_now, call);
 }
 
--- a/test/scripts/node_path.sh
+++ b/test/scripts/node_path.sh
@@ -65,13 +65,25 @@
 call 1 POST /q/12 "$(job 20 x)"
 call 1 POST /q/00000000000000a3 "{"
 call 1 POST /q/00000000000000a3 '{"BestEffort":true,"Steps":[{"Count":1,"After":[0]}]}'
-call 1 POST /q/00000000000000a3 '{"Steps":[{"Count":1}]}'
+call 1 POST /q/00000000000000a3 '{"Repetitions":3,"Steps":[{"Count":1}]}'
 call 1 POST /q/00000000000000a3 '{"BestEffort":true,"Steps":[{"Count":1,"Cpu":99000}]}'
 call 1 POST /q/00000000000000a3 "$(job 20 "$(printf '%06000d' 0)")"
 call 1 PATCH /q/00000000000000a3
 call 1 GET /q/00000000000000a1
 echo "starts: $(cat "$WORK"/x?.tasks | grep -c '^start 00000000000000a3')"
 
+echo "# a job that must be kept, and one that is cancelled"
+kept() { echo "{\"Spec\":\"sleep=$1\",\"Steps\":[{\"Count\":2,\"Cpu\":6000,\"EstimatedMs\":$1}]}"; }
+state_is() { call 1 GET "/q/$1" | grep -q "\"$2\""; }
+call 1 POST /q/00000000000000c1 "$(kept 50)"
+wait_until "it is completed" state_is 00000000000000c1 completed
+call 1 POST /q/00000000000000c1 "$(kept 50)"
+call 1 POST /q/00000000000000c2 "$(kept 60000)"
+wait_until "it runs" state_is 00000000000000c2 running
+call 1 DELETE /q/00000000000000c2
+call 1 GET /q/00000000000000c2
+echo "starts: $(cat "$WORK"/x?.tasks | grep -c '^start 00000000000000c1')"
+
 echo "# the owner leaves while a job of another node runs"
 start_node 2 east
 wait_until "node 2 is ready" ready 2
