Let a former owner's tasks wait until its orders for them must be over, not only its first leases

The wait was reckoned from the take-over; it is reckoned from the offer now (0.65 s of the issuer's silence and the longest lease), and an executor that has not answered is never taken as settled. /cell/former_owner_goes_on failed first.

--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -370,7 +370,7 @@
 		       offer->job->stretch_milli / 1000.0 * longest_chain_ms(job->queue, job->spec);
 	job->due_ms = job->arrived_ms + (int64_t)objective_ms;
 	if (offer->running_before)
-		job->unsure_until_ms = cell->created_ms + cell_lease_ms(cell);
+		job->unsure_until_ms = now_ms + FORMER_ORDERS_MS + cell_lease_ms(cell);
 	job->steps = g_new0(struct cell_step, job->spec->n_steps);
 	for (size_t i = 0; i < job->spec->n_steps; i++) {
 		job->steps[i].spec = job->spec->steps[i];
--- a/src/cell/cell_keep.c
+++ b/src/cell/cell_keep.c
@@ -208,7 +208,7 @@
 	g_free(packed);
 	job = job_create(cell, now_ms, WAXWING_ISSUER_SELF, offer);
 	job->stored = true;
-	job->unsure_until_ms = cell->created_ms + cell_lease_ms(cell);
+	job->unsure_until_ms = now_ms + FORMER_ORDERS_MS + cell_lease_ms(cell);
 }
 
 static void replay_task(struct cell_job *job, const Waxwing__JournalRecord *made)
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -199,15 +199,15 @@
 	}
 }
 
-/* True when every run of a former owner's orders is known. */
-static bool all_answered(const struct waxwing_cell *cell, int64_t now_ms)
+/* True when every run of a former owner's orders is known, and it can give no more. */
+static bool all_answered(const struct waxwing_cell *cell)
 {
 	if (cell->options.list_incomplete)
 		return false;
 	for (guint i = 0; i < cell->list->len; i++) {
 		const struct executor *executor = cell->list->pdata[i];
 
-		if (!executor->answered && now_ms < executor->leased_until_ms)
+		if (!executor->answered)
 			return false;
 	}
 	return true;
@@ -222,7 +222,7 @@
 	if (g_sequence_iter_is_end(iter))
 		return;
 	awaited = g_hash_table_new(NULL, NULL);
-	sure = all_answered(cell, now_ms);
+	sure = all_answered(cell);
 	while (!g_sequence_iter_is_end(iter)) {
 		struct cell_job *job = g_sequence_get(iter);
 
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -13,6 +13,11 @@
 #define SLOWEST_CLOCK 0.98
 /* Added to times that must have passed on another machine. */
 #define CERTAINTY_MS 30
+/*
+ * A former owner that does not know of its successor gives orders for an issuer's jobs for so long after
+ * it last heard that issuer: as long as nodes take each other for reachable.
+ */
+#define FORMER_ORDERS_MS 650
 /* An executor that the list has lost is used on for so long (store outages lose entries). */
 #define MISSING_USED_MS 2000
 /* Percent are work units: run times are learnt as a share of the estimate. */
--- a/test/test_cell.c
+++ b/test/test_cell.c
@@ -283,6 +283,29 @@
 	tear_down(&fixture);
 }
 
+/*
+ * A former owner that cannot reach its successor goes on giving orders to executors that have not heard of
+ * the new token; what its issuers offer again may run there (luachung-sched trouble-2, 41.1 s: TWICE).
+ */
+static void test_former_owner_goes_on(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture, true);
+	add_executor(&fixture, "a", 16000, 0);
+	add_executor(&fixture, "b", 16000, 0);
+	waxwing_cell_run(fixture.cell, fixture.now_ms);
+	answer_hold(&fixture, fixture.recorder.life, NULL, 0, NULL, 0);
+	run(&fixture, LEASE_MOST_MS + 200);
+	offer(&fixture, 9, 1, 6000, 3000, true);
+	/* its issuer was heard until now: that owner stops the job 650 ms later, or a lease runs out */
+	run(&fixture, LEASE_MOST_MS + 600);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 0);
+	run(&fixture, 300);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 1);
+	tear_down(&fixture);
+}
+
 /* What a former owner started goes on, and its end counts. */
 static void test_adopts(void)
 {
@@ -447,6 +470,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/cell/capacity", test_capacity);
 	g_test_add_func("/cell/offered_while_stopped", test_offered_while_stopped);
+	g_test_add_func("/cell/former_owner_goes_on", test_former_owner_goes_on);
 	g_test_add_func("/cell/adopts", test_adopts);
 	g_test_add_func("/cell/silent_executor", test_silent_executor);
 	g_test_add_func("/cell/start_unanswered", test_start_unanswered);
