Say once what the cell said twice; take out what nothing reads

Verdicts, a job's start, a task that waits again, the name of a run, the bounds of a job's tasks and an estimate's default each stood in two or three places; copies of messages have one function (base/message.c). How long nodes must be silent to each other stood as 650 ms in the cell and in the node: one constant. Gone, since nothing read them: a run's percent, an executor's kind by name, the doubtful state (overwritten at once), a second reading of a clock, a weight, a tick and waxwing_cell_busy(). No change in what it does; test_cell and test_node_faults pass.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -90,11 +90,6 @@
 	cell_hold_due(cell, now_ms);
 }
 
-bool waxwing_cell_busy(const struct waxwing_cell *cell)
-{
-	return cell->runs > 0;
-}
-
 void waxwing_cell_view(struct waxwing_cell *cell, int64_t now_ms, struct waxwing_cell_view *view)
 {
 	GSequenceIter *iter = g_sequence_get_begin_iter(cell->ready);
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -21,6 +21,12 @@
 
 struct waxwing_cell;
 
+/**
+ * Nodes that do not hear each other for so long take each other for cut off or gone, in milliseconds: an
+ * owner stops the jobs of such an issuer, an issuer counts on its jobs' owner no more.
+ */
+#define WAXWING_SILENT_MS 650
+
 /** Issuer of jobs that the owner's own process took from callers. */
 #define WAXWING_ISSUER_SELF 0
 
@@ -80,7 +86,6 @@
 
 struct waxwing_running_row {
 	struct waxwing_run_name name;
-	uint32_t percent; /**< of its work, done */
 };
 
 struct waxwing_ended_row {
@@ -236,12 +241,6 @@
 /** Lets time pass and gives all orders that are due. Call it after events, and at each tick. */
 void waxwing_cell_run(struct waxwing_cell *cell, int64_t now_ms);
 
-/** Longest time between two calls of waxwing_cell_run(). */
-#define WAXWING_CELL_TICK_MS 20
-
-/** True when a run of a job still holds a lease somewhere. */
-bool waxwing_cell_busy(const struct waxwing_cell *cell);
-
 struct waxwing_cell_view {
 	uint32_t executors;
 	uint32_t usable; /**< executors that may be given work */
--- a/src/cell/cell_executor.c
+++ b/src/cell/cell_executor.c
@@ -4,9 +4,6 @@
 #include "event_log.h"
 #include "log.h"
 
-/* Weight of an order that was not answered, against a failed task. */
-#define SILENCE_WEIGHT 0.5
-
 void executor_free(struct executor *executor)
 {
 	g_ptr_array_free(executor->runs, TRUE);
@@ -15,7 +12,6 @@
 	g_free(executor->id);
 	g_free(executor->address);
 	g_free(executor->service);
-	g_free(executor->kind_name);
 	g_free(executor->rack);
 	g_free(executor);
 }
@@ -198,7 +194,6 @@
 		executor->hold_wanted = true; /* its list tells what runs on the new life */
 	take_text(&executor->address, entry->address);
 	take_text(&executor->service, entry->service);
-	take_text(&executor->kind_name, entry->kind);
 	take_text(&executor->rack, entry->rack);
 	g_strfreev(executor->labels);
 	executor->labels = g_strdupv((gchar **)entry->labels);
--- a/src/cell/cell_hold.c
+++ b/src/cell/cell_hold.c
@@ -78,8 +78,7 @@
 {
 	struct cell_job *job = g_hash_table_lookup(cell->jobs, &name->job);
 
-	if (!job || name->occurrence != 0 || name->step >= job->spec->n_steps ||
-	    name->index >= job->steps[name->step].spec->count)
+	if (!job || name->occurrence != 0 || !job_has_task(job, name->step, name->index))
 		return NULL;
 	return job;
 }
@@ -121,7 +120,7 @@
 		if (job)
 			run_adopt(cell, run, job);
 	}
-	if (run->state == RUN_STARTING || run->state == RUN_DOUBTFUL) {
+	if (run->state == RUN_STARTING) {
 		run->state = RUN_RUNNING;
 		run->started_ms = now_ms;
 	}
@@ -129,21 +128,13 @@
 	if (run->state == RUN_STOPPING && run->stopped_by_ms &&
 	    now_ms - run->stopped_by_ms >= STOP_OVERDUE_MS)
 		run->stopped_by_ms = 0;
-	if (row->percent > run->percent || !run->percent_ms) {
-		run->percent = row->percent;
-		run->percent_ms = now_ms;
-	}
 }
 
 static bool is_listed(const struct waxwing_hold_answer *answer, const struct cell_run *run)
 {
-	for (size_t i = 0; i < answer->running_count; i++) {
-		const struct waxwing_run_name *name = &answer->running[i].name;
-
-		if (name->job == run->name.job && name->step == run->name.step &&
-		    name->index == run->name.index && name->run == run->name.run)
+	for (size_t i = 0; i < answer->running_count; i++)
+		if (run_is(run, &answer->running[i].name))
 			return true;
-	}
 	return false;
 }
 
--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -35,19 +35,24 @@
 	return left->id < right->id ? -1 : left->id > right->id;
 }
 
+bool job_has_task(const struct cell_job *job, uint32_t step, uint32_t index)
+{
+	return step < job->spec->n_steps && index < job->steps[step].spec->count;
+}
+
 struct waxwing_capacity step_needs(const Waxwing__JobStep *step)
 {
 	return (struct waxwing_capacity){ step->cpu_milli, step->mem_mb, step->gpu };
 }
 
-static double estimate_ms(const Waxwing__JobStep *step)
+double step_estimate_ms(const Waxwing__JobStep *step)
 {
 	return step->estimated_ms ? step->estimated_ms : ESTIMATE_DEFAULT_MS;
 }
 
 double step_work_ms(const struct cell_job *job, const Waxwing__JobStep *step)
 {
-	return estimate_ms(step) * job->queue->ratio.mean_ms / RATIO_UNIT;
+	return step_estimate_ms(step) * job->queue->ratio.mean_ms / RATIO_UNIT;
 }
 
 /* Work that the longest of a step's tasks will not often exceed. */
@@ -55,7 +60,7 @@
 {
 	double share = pow(0.5, 1.0 / MAX(step->count, 1));
 
-	return estimate_ms(step) * waxwing_work_quantile(&queue->ratio, share) / RATIO_UNIT;
+	return step_estimate_ms(step) * waxwing_work_quantile(&queue->ratio, share) / RATIO_UNIT;
 }
 
 static double longest_chain_ms(const struct queue *queue, const Waxwing__Job *spec)
@@ -100,7 +105,7 @@
 	const Waxwing__JobStep *spec = job->steps[step].spec;
 
 	job->ready = (uint32_t)((int)job->ready + change);
-	cell->queued_core_ms += change * (double)spec->cpu_milli / 1000 * estimate_ms(spec);
+	cell->queued_core_ms += change * (double)spec->cpu_milli / 1000 * step_estimate_ms(spec);
 	if (!job->ready)
 		remove_from_ready(job);
 	else if (!job->place)
@@ -113,15 +118,20 @@
 	count_ready(cell, job, step, 1);
 }
 
+static void mark_started(struct cell_job *job)
+{
+	if (job->started)
+		return;
+	job->started = true;
+	job->queue->waiting_jobs--;
+}
+
 /* The task has a run now. */
 void job_task_taken(struct waxwing_cell *cell, struct cell_job *job, uint32_t step, uint32_t index)
 {
 	job->steps[step].tasks[index].state = TASK_OUT;
 	job->out++;
-	if (!job->started) {
-		job->started = true;
-		job->queue->waiting_jobs--;
-	}
+	mark_started(job);
 	count_ready(cell, job, step, -1);
 }
 
@@ -160,6 +170,20 @@
 	g_free(job);
 }
 
+static Waxwing__JobVerdict make_verdict(uint64_t job, enum waxwing_job_outcome outcome,
+					enum waxwing_error_code reason, uint32_t retry_after_ms)
+{
+	Waxwing__JobVerdict verdict = WAXWING__JOB_VERDICT__INIT;
+
+	verdict.job = job;
+	verdict.outcome = outcome;
+	verdict.has_reason = reason != WAXWING_OK;
+	verdict.reason = reason;
+	verdict.has_retry_after_ms = retry_after_ms != 0;
+	verdict.retry_after_ms = retry_after_ms;
+	return verdict;
+}
+
 static void keep_verdict(struct waxwing_cell *cell, uint64_t issuer, int64_t now_ms,
 			 const Waxwing__JobVerdict *verdict)
 {
@@ -226,14 +250,8 @@
 	     enum waxwing_job_outcome outcome, enum waxwing_error_code reason,
 	     uint32_t retry_after_ms)
 {
-	Waxwing__JobVerdict verdict = WAXWING__JOB_VERDICT__INIT;
+	Waxwing__JobVerdict verdict = make_verdict(job->id, outcome, reason, retry_after_ms);
 
-	verdict.job = job->id;
-	verdict.outcome = outcome;
-	verdict.has_reason = reason != WAXWING_OK;
-	verdict.reason = reason;
-	verdict.has_retry_after_ms = retry_after_ms != 0;
-	verdict.retry_after_ms = retry_after_ms;
 	cell->refused += outcome == WAXWING_JOB_REFUSED;
 	if (outcome != WAXWING_JOB_COMPLETED)
 		waxwing_event("job_ended",
@@ -262,10 +280,7 @@
 	if (job->kept)
 		keep_task(cell, job, step, index, false);
 	if (!job->undone) {
-		if (!job->started) {
-			job->started = true;
-			job->queue->waiting_jobs--;
-		}
+		mark_started(job);
 		if (job->kept)
 			keep_end(cell, job, now_ms, WAXWING_STATE_COMPLETED);
 		else
@@ -314,14 +329,8 @@
 		      Waxwing__JobOffer *offer, enum waxwing_job_outcome outcome,
 		      enum waxwing_error_code reason, uint32_t retry_after_ms)
 {
-	Waxwing__JobVerdict verdict = WAXWING__JOB_VERDICT__INIT;
+	Waxwing__JobVerdict verdict = make_verdict(offer->job->id, outcome, reason, retry_after_ms);
 
-	verdict.job = offer->job->id;
-	verdict.outcome = outcome;
-	verdict.has_reason = true;
-	verdict.reason = reason;
-	verdict.has_retry_after_ms = retry_after_ms != 0;
-	verdict.retry_after_ms = retry_after_ms;
 	cell->refused++;
 	waxwing_event(
 		"job_refused", "job=%016llx queue=%s reason=%s retry_after_ms=%u ready_tasks=%u",
@@ -369,8 +378,9 @@
 	objective_ms = offer->job->allowance_ms +
 		       offer->job->stretch_milli / 1000.0 * longest_chain_ms(job->queue, job->spec);
 	job->due_ms = job->arrived_ms + (int64_t)objective_ms;
+	/* a former owner that knows of no successor stops them for the issuer's silence only */
 	if (offer->running_before)
-		job->unsure_until_ms = now_ms + FORMER_ORDERS_MS + cell_lease_ms(cell);
+		job->unsure_until_ms = now_ms + WAXWING_SILENT_MS + cell_lease_ms(cell);
 	job->steps = g_new0(struct cell_step, job->spec->n_steps);
 	for (size_t i = 0; i < job->spec->n_steps; i++) {
 		job->steps[i].spec = job->spec->steps[i];
@@ -399,8 +409,7 @@
 			struct cell_run *run = executor->runs->pdata[k];
 
 			if (!run->job && run->name.job == job->id &&
-			    run->name.step < job->spec->n_steps &&
-			    run->name.index < job->spec->steps[run->name.step]->count)
+			    job_has_task(job, run->name.step, run->name.index))
 				run_adopt(cell, run, job);
 		}
 	}
@@ -489,15 +498,12 @@
 
 	for (GList *at = jobs; at; at = at->next) {
 		struct cell_job *job = at->data;
-		Waxwing__JobVerdict verdict = WAXWING__JOB_VERDICT__INIT;
+		Waxwing__JobVerdict verdict = make_verdict(job->id, WAXWING_JOB_GIVEN_UP,
+							   WAXWING_ERROR_OUTCOME_UNKNOWN, 0);
 
 		if (job->issuer != issuer || job->ended || job->kept)
 			continue;
 		/* if the issuer asks again, it must not hear that nothing ran */
-		verdict.job = job->id;
-		verdict.outcome = WAXWING_JOB_GIVEN_UP;
-		verdict.has_reason = true;
-		verdict.reason = WAXWING_ERROR_OUTCOME_UNKNOWN;
 		if (job->started)
 			keep_verdict(cell, issuer, now_ms, &verdict);
 		waxwing_cell_withdraw(cell, now_ms, job->id);
--- a/src/cell/cell_keep.c
+++ b/src/cell/cell_keep.c
@@ -4,6 +4,8 @@
 #include "event_log.h"
 #include "log.h"
 
+#include "message.h"
+
 static uint64_t record(struct waxwing_cell *cell, const Waxwing__JournalRecord *made)
 {
 	cell->recorded = cell->options.ops->record(cell->options.data, made);
@@ -189,34 +191,22 @@
 
 static void replay_job(struct waxwing_cell *cell, int64_t now_ms, const Waxwing__Job *spec)
 {
-	Waxwing__JobOffer *offer;
-	struct cell_job *job;
-	uint8_t *packed;
-	size_t len;
+	Waxwing__JobOffer offer = WAXWING__JOB_OFFER__INIT;
 
-	if (g_hash_table_contains(cell->jobs, &spec->id) ||
-	    g_hash_table_contains(cell->finished, &spec->id))
+	if (waxwing_cell_knows(cell, spec->id))
 		return;
-	len = waxwing__job__get_packed_size(spec);
-	packed = g_malloc(len);
-	waxwing__job__pack(spec, packed);
-	offer = calloc(1, sizeof(*offer));
-	if (!offer)
-		g_error("no memory for a job");
-	waxwing__job_offer__init(offer);
-	offer->job = waxwing__job__unpack(NULL, len, packed);
-	g_free(packed);
-	job = job_create(cell, now_ms, WAXWING_ISSUER_SELF, offer);
-	job->stored = true;
-	job->unsure_until_ms = now_ms + FORMER_ORDERS_MS + cell_lease_ms(cell);
+	offer.job = (Waxwing__Job *)spec;
+	offer.has_running_before = true;
+	offer.running_before = true;
+	job_create(cell, now_ms, WAXWING_ISSUER_SELF, waxwing_message_copy(&offer.base))->stored =
+		true;
 }
 
 static void replay_task(struct cell_job *job, const Waxwing__JournalRecord *made)
 {
 	struct task *task;
 
-	if (!job || made->step >= job->spec->n_steps ||
-	    made->index >= job->steps[made->step].spec->count)
+	if (!job || !job_has_task(job, made->step, made->index))
 		return;
 	task = &job->steps[made->step].tasks[made->index];
 	if (made->failed) {
@@ -274,11 +264,12 @@
 	cell->options.recovering = false;
 	for (GList *at = jobs; at; at = at->next) {
 		struct cell_job *job = at->data;
-		enum waxwing_job_state due = job->kept ? state_due(job) : WAXWING_STATE_NONE;
+		enum waxwing_job_state due;
 
 		if (!job->kept)
 			continue;
 		raise_runs(cell, job);
+		due = state_due(job);
 		if (due) {
 			keep_end(cell, job, now_ms, due);
 			continue;
@@ -297,12 +288,7 @@
 
 static void add_record(GPtrArray *records, const Waxwing__JournalRecord *made)
 {
-	size_t len = waxwing__journal_record__get_packed_size(made);
-	uint8_t *packed = g_malloc(len);
-
-	waxwing__journal_record__pack(made, packed);
-	g_ptr_array_add(records, waxwing__journal_record__unpack(NULL, len, packed));
-	g_free(packed);
+	g_ptr_array_add(records, waxwing_message_copy(&made->base));
 }
 
 static void add_task(GPtrArray *records, const struct cell_job *job, uint32_t step, uint32_t index)
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -178,7 +178,7 @@
 				 executor_until(cell, executor, now_ms));
 }
 
-/* Starts what it can of a step; false when no more of it can start now. */
+/* Starts what it can of a step. */
 static void place_step(struct waxwing_cell *cell, struct cell_job *job, uint32_t step,
 		       int64_t now_ms, GHashTable *awaited)
 {
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -13,14 +13,9 @@
 #define SLOWEST_CLOCK 0.98
 /* Added to times that must have passed on another machine. */
 #define CERTAINTY_MS 30
-/*
- * A former owner that does not know of its successor gives orders for an issuer's jobs for so long after
- * it last heard that issuer: as long as nodes take each other for reachable.
- */
-#define FORMER_ORDERS_MS 650
 /* An executor that the list has lost is used on for so long (store outages lose entries). */
 #define MISSING_USED_MS 2000
-/* Percent are work units: run times are learnt as a share of the estimate. */
+/* Run times are learnt as a share of the estimate, in percent. */
 #define RATIO_UNIT 100.0
 /* Assumed for a step that gives no estimate. */
 #define ESTIMATE_DEFAULT_MS 200
@@ -35,7 +30,6 @@
 enum run_state {
 	RUN_STARTING,
 	RUN_RUNNING,
-	RUN_DOUBTFUL, /* no answer to its start */
 	RUN_STOPPING,
 };
 
@@ -99,7 +93,6 @@
 	char *id;
 	char *address;
 	char *service;
-	char *kind_name;
 	char *rack;
 	char **labels;
 	struct waxwing_capacity capacity;
@@ -149,8 +142,6 @@
 	int64_t stop_next_ms;
 	int64_t stopped_by_ms; /* its stop was answered: it does not run after this; 0: it was not */
 	int64_t seen_ms; /* foreign: first seen */
-	uint32_t percent;
-	int64_t percent_ms; /* when percent last rose */
 };
 
 /* A job that has ended. */
@@ -216,6 +207,7 @@
 struct cell_run *run_create(struct waxwing_cell *cell, struct executor *executor,
 			    const struct waxwing_run_name *name,
 			    const struct waxwing_capacity *needs);
+bool run_is(const struct cell_run *run, const struct waxwing_run_name *name);
 struct cell_run *run_find(const struct executor *executor, const struct waxwing_run_name *name);
 void run_adopt(struct waxwing_cell *cell, struct cell_run *run, struct cell_job *job);
 void run_stop(struct waxwing_cell *cell, struct cell_run *run, int64_t now_ms);
@@ -226,6 +218,8 @@
 
 /* cell_job.c */
 void job_free(struct waxwing_cell *cell, struct cell_job *job);
+bool job_has_task(const struct cell_job *job, uint32_t step, uint32_t index);
+double step_estimate_ms(const Waxwing__JobStep *step);
 struct waxwing_capacity step_needs(const Waxwing__JobStep *step);
 double step_work_ms(const struct cell_job *job, const Waxwing__JobStep *step);
 void job_task_ready(struct waxwing_cell *cell, struct cell_job *job, uint32_t step, uint32_t index);
--- a/src/cell/cell_run.c
+++ b/src/cell/cell_run.c
@@ -10,6 +10,8 @@
 #define FULL_PAUSE_MS 300
 /* Weight of a start that was not answered or not taken, against a failed task. */
 #define UNSTARTED_WEIGHT 1.0
+/* Share by which a kind's speed follows that of an executor whose run has ended. */
+#define KIND_SHARE 0.05
 /* By how much a run's number rises after one that was old at its executor. */
 #define OLD_RUN_STEP 4
 
@@ -55,14 +57,19 @@
 	g_free(run);
 }
 
+bool run_is(const struct cell_run *run, const struct waxwing_run_name *name)
+{
+	return run->name.job == name->job && run->name.step == name->step &&
+	       run->name.index == name->index && run->name.run == name->run &&
+	       run->name.occurrence == name->occurrence;
+}
+
 struct cell_run *run_find(const struct executor *executor, const struct waxwing_run_name *name)
 {
 	for (guint i = 0; i < executor->runs->len; i++) {
 		struct cell_run *run = executor->runs->pdata[i];
 
-		if (run->name.job == name->job && run->name.step == name->step &&
-		    run->name.index == name->index && run->name.run == name->run &&
-		    run->name.occurrence == name->occurrence)
+		if (run_is(run, name))
 			return run;
 	}
 	return NULL;
@@ -102,15 +109,15 @@
 static void learn(struct cell_run *run, int64_t now_ms)
 {
 	const Waxwing__JobStep *step = run->job->steps[run->name.step].spec;
-	double estimate = step->estimated_ms ? step->estimated_ms : ESTIMATE_DEFAULT_MS;
 	double ran_ms = (double)MAX(now_ms - run->started_ms, 1);
 	struct waxwing_speed *speed = &run->executor->speed;
 	struct waxwing_speed of_kind = run->executor->kind->speed;
 
-	waxwing_estimate_learn(&run->job->queue->ratio, speed, ran_ms / estimate * RATIO_UNIT);
+	waxwing_estimate_learn(&run->job->queue->ratio, speed,
+			       ran_ms / step_estimate_ms(step) * RATIO_UNIT);
 	/* the kind's speed starts those that come later */
-	of_kind.log_speed += 0.05 * (speed->log_speed - of_kind.log_speed);
-	of_kind.value += 0.05 * (speed->value - of_kind.value);
+	of_kind.log_speed += KIND_SHARE * (speed->log_speed - of_kind.log_speed);
+	of_kind.value += KIND_SHARE * (speed->value - of_kind.value);
 	run->executor->kind->speed = of_kind;
 }
 
@@ -163,6 +170,17 @@
 	}
 }
 
+/* A run of the task has come to nothing. */
+static void task_waits_again(struct waxwing_cell *cell, struct cell_job *job, uint32_t step,
+			     uint32_t index)
+{
+	job->out--;
+	if (job->ended)
+		job_leave(cell, job);
+	else
+		job_task_ready(cell, job, step, index);
+}
+
 /* The order did nothing; the task waits again. */
 static void not_started(struct waxwing_cell *cell, struct cell_run *run, const char *why)
 {
@@ -176,14 +194,8 @@
 	if (job)
 		run_task(run)->run = NULL;
 	run_free(cell, run);
-	if (!job)
-		return;
-	job->out--;
-	if (job->ended) {
-		job_leave(cell, job);
-		return;
-	}
-	job_task_ready(cell, job, step, index);
+	if (job)
+		task_waits_again(cell, job, step, index);
 }
 
 void waxwing_cell_start_answered(struct waxwing_cell *cell, int64_t now_ms, uint64_t life,
@@ -215,8 +227,6 @@
 		not_started(cell, run, "old");
 		break;
 	case WAXWING_START_LATE:
-		executor->clock_at_ms = 0;
-		executor_take_clock(executor, now_ms, clock_ms);
 		not_started(cell, run, "late");
 		break;
 	case WAXWING_START_FENCED:
@@ -241,7 +251,6 @@
 	case WAXWING_START_UNKNOWN:
 		executor_failed(cell, executor, now_ms, UNSTARTED_WEIGHT);
 		executor->full_until_ms = now_ms + FULL_PAUSE_MS;
-		run->state = RUN_DOUBTFUL;
 		run_stop(cell, run, now_ms);
 		break;
 	}
@@ -273,9 +282,5 @@
 
 	run_task(run)->run = NULL;
 	run->job = NULL;
-	job->out--;
-	if (!job->ended)
-		job_task_ready(cell, job, run->name.step, run->name.index);
-	else
-		job_leave(cell, job);
+	task_waits_again(cell, job, run->name.step, run->name.index);
 }
--- a/src/node/node_cells.c
+++ b/src/node/node_cells.c
@@ -38,7 +38,7 @@
 {
 	const struct node_cell *at = data;
 
-	return at->heard_ms && node_now(at->node) - at->heard_ms < SILENT_MS;
+	return at->heard_ms && node_now(at->node) - at->heard_ms < WAXWING_SILENT_MS;
 }
 
 static uint32_t claim_delay_ms(const struct waxwing_node *node, const char *cell)
@@ -111,7 +111,7 @@
 {
 	if (at->cell)
 		return true;
-	return at->heard_ms && now_ms - at->heard_ms < SILENT_MS;
+	return at->heard_ms && now_ms - at->heard_ms < WAXWING_SILENT_MS;
 }
 
 /* The owner's clock by this node's reckoning: never ahead of it. */
--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -431,7 +431,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct issuer *issuer = value;
 
-		if (issuer->gone || now_ms - issuer->heard_ms < SILENT_MS)
+		if (issuer->gone || now_ms - issuer->heard_ms < WAXWING_SILENT_MS)
 			continue;
 		issuer->gone = true;
 		waxwing_event("issuer_silent", "cell=%s sender=%016llx", at->name,
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -12,8 +12,6 @@
 
 /* Pings to the owner of each cell; nodes in many share the owners' time. */
 #define PING_MS 100
-/* An owner or a node that was not heard for so long is taken as cut off or gone. */
-#define SILENT_MS 650
 
 /*
  * After so long without a word, an owner's orders for a node's jobs have no effect any more: it has
--- a/test/node_world.h
+++ b/test/node_world.h
@@ -922,7 +922,7 @@
 	call->ended = g_array_new(FALSE, FALSE, sizeof(struct waxwing_ended_row));
 	for (guint i = 0; i < executor->runs->len; i++) {
 		struct waxwing_running_row row = {
-			g_array_index(executor->runs, struct executor_run, i).name, 0
+			g_array_index(executor->runs, struct executor_run, i).name
 		};
 
 		g_array_append_val(call->running, row);
--- a/test/test_cell.c
+++ b/test/test_cell.c
@@ -257,7 +257,7 @@
 static void test_offered_while_stopped(void)
 {
 	struct fixture fixture;
-	struct waxwing_running_row running = { { 9, 0, 0, 0, 3 }, 10 };
+	struct waxwing_running_row running = { { 9, 0, 0, 0, 3 } };
 	struct waxwing_ended_row ended = { 1, running.name, WAXWING_RUN_STOPPED };
 	uint64_t life;
 
@@ -310,7 +310,7 @@
 static void test_adopts(void)
 {
 	struct fixture fixture;
-	struct waxwing_running_row running = { { 9, 0, 0, 0, 1 }, 10 };
+	struct waxwing_running_row running = { { 9, 0, 0, 0, 1 } };
 	struct waxwing_ended_row ended = { 1, running.name, WAXWING_RUN_DONE };
 
 	set_up(&fixture, true);
@@ -390,7 +390,7 @@
 static void test_new_life(void)
 {
 	struct fixture fixture;
-	struct waxwing_running_row running = { { 2, 0, 0, 0, 1 }, 0 };
+	struct waxwing_running_row running = { { 2, 0, 0, 0, 1 } };
 
 	set_up(&fixture, false);
 	fixture.born_ms = 100;
