Hold each thing of a node once: orders their cell, entries as they came, messages by one start

An order searched the list of cells for its own cell; it points to it. Entries of executors are kept as store items without a second wrapper and key; two wrappers of one call, a list of one field and two fields that nothing read are gone. Copies of jobs and records use waxwing_message_copy().

--- a/src/node/journal.c
+++ b/src/node/journal.c
@@ -1,11 +1,11 @@
 #include "journal.h"
 
-#include <stdio.h>
-
 #define LOG_PART "journal"
 #include "event_log.h"
 #include "log.h"
 
+#include "message.h"
+
 /* Least time between two writes: the store's rate is shared by all cells. */
 #define PACE_MS 10
 /* Before a write or a reading that was not answered or refused is sent again. */
@@ -25,8 +25,7 @@
 	uint64_t out_upto; /* number of its last record */
 	bool out_snapshot;
 	bool call_out;
-	GPtrArray *gathered; /* packed records, struct waxwing_str in GBytes */
-	size_t gathered_bytes;
+	GPtrArray *gathered; /* Waxwing__JournalRecord */
 	uint64_t added;
 	uint64_t stored;
 	uint64_t next_segment;
@@ -34,7 +33,7 @@
 	GPtrArray *segments; /* keys that stand in the store, oldest first */
 	GPtrArray *removing; /* keys that a snapshot has made needless */
 	uint32_t removing_now; /* of them, in the write that is out */
-	GPtrArray *read; /* packed segments of the range so far, GBytes */
+	GPtrArray *read; /* Waxwing__JournalSegment of the range so far; null: one cannot be read */
 	char *after_key;
 	int64_t next_ms;
 	int64_t oldest_ms; /* when the oldest record that is not stored was added */
@@ -47,9 +46,15 @@
 	return waxwing_clock_now(journal->options.clock);
 }
 
-static void bytes_free(gpointer bytes)
+static void record_free(gpointer record)
+{
+	waxwing__journal_record__free_unpacked(record, NULL);
+}
+
+static void segment_free(gpointer segment)
 {
-	g_bytes_unref(bytes);
+	if (segment)
+		waxwing__journal_segment__free_unpacked(segment, NULL);
 }
 
 struct waxwing_journal *waxwing_journal_create(const struct waxwing_journal_options *options)
@@ -60,10 +65,10 @@
 	journal->options.guard_key = g_strdup(options->guard_key);
 	journal->options.cell = g_strdup(options->cell);
 	journal->prefix = g_strconcat(JOURNAL_PREFIX, options->cell, "/", NULL);
-	journal->gathered = g_ptr_array_new_with_free_func(bytes_free);
+	journal->gathered = g_ptr_array_new_with_free_func(record_free);
 	journal->segments = g_ptr_array_new_with_free_func(g_free);
 	journal->removing = g_ptr_array_new_with_free_func(g_free);
-	journal->read = g_ptr_array_new_with_free_func(bytes_free);
+	journal->read = g_ptr_array_new_with_free_func(segment_free);
 	journal->next_segment = 1;
 	journal->snapshot_after = SEGMENTS_MOST;
 	return journal;
@@ -107,12 +112,7 @@
 
 uint64_t waxwing_journal_add(struct waxwing_journal *journal, const Waxwing__JournalRecord *record)
 {
-	size_t len = waxwing__journal_record__get_packed_size(record);
-	uint8_t *packed = g_malloc(len);
-
-	waxwing__journal_record__pack(record, packed);
-	g_ptr_array_add(journal->gathered, g_bytes_new_take(packed, len));
-	journal->gathered_bytes += len;
+	g_ptr_array_add(journal->gathered, waxwing_message_copy(&record->base));
 	if (journal->stored == journal->added)
 		journal->oldest_ms = now(journal);
 	return ++journal->added;
@@ -120,42 +120,35 @@
 
 /* --- reading ---------------------------------------------------------------------------------- */
 
-static Waxwing__JournalSegment *unpack_segment(GBytes *bytes)
+static void read_segment(struct waxwing_journal *journal, const struct waxwing_store_item *item)
 {
-	gsize len;
-	const uint8_t *data = g_bytes_get_data(bytes, &len);
+	Waxwing__JournalSegment *segment = waxwing__journal_segment__unpack(
+		NULL, item->value.len, (const uint8_t *)item->value.data);
 
-	return waxwing__journal_segment__unpack(NULL, len, data);
+	if (!segment)
+		waxwing_event("segment_unreadable", "cell=%s bytes=%zu", journal->options.cell,
+			      item->value.len);
+	g_ptr_array_add(journal->read, segment);
+	g_ptr_array_add(journal->segments, waxwing_str_dup(item->key));
 }
 
 /* The last snapshot says all that came before it. */
 static guint first_to_replay(const struct waxwing_journal *journal)
 {
 	for (guint i = journal->read->len; i-- > 0;) {
-		Waxwing__JournalSegment *segment = unpack_segment(journal->read->pdata[i]);
-		bool snapshot = segment && segment->snapshot;
+		const Waxwing__JournalSegment *segment = journal->read->pdata[i];
 
-		if (segment)
-			waxwing__journal_segment__free_unpacked(segment, NULL);
-		if (snapshot)
+		if (segment && segment->snapshot)
 			return i;
 	}
 	return 0;
 }
 
-static void replay_segment(struct waxwing_journal *journal, GBytes *bytes)
+static void replay_segment(struct waxwing_journal *journal, const Waxwing__JournalSegment *segment)
 {
-	Waxwing__JournalSegment *segment = unpack_segment(bytes);
-
-	if (!segment) {
-		waxwing_event("segment_unreadable", "cell=%s bytes=%zu", journal->options.cell,
-			      g_bytes_get_size(bytes));
-		return;
-	}
 	for (size_t i = 0; i < segment->n_records; i++)
 		journal->options.replay(journal->options.data, segment->records[i]);
 	journal->next_segment = MAX(journal->next_segment, segment->number + 1);
-	waxwing__journal_segment__free_unpacked(segment, NULL);
 }
 
 static void replay_all(struct waxwing_journal *journal)
@@ -163,7 +156,8 @@
 	guint first = first_to_replay(journal);
 
 	for (guint i = first; i < journal->read->len; i++)
-		replay_segment(journal, journal->read->pdata[i]);
+		if (journal->read->pdata[i])
+			replay_segment(journal, journal->read->pdata[i]);
 	while (first-- > 0)
 		g_ptr_array_add(journal->removing, g_ptr_array_steal_index(journal->segments, 0));
 	waxwing_event("journal_replayed", "cell=%s segments=%u next=%llu", journal->options.cell,
@@ -179,12 +173,8 @@
 		journal->next_ms = now(journal) + RETRY_MS;
 		return;
 	}
-	for (size_t i = 0; i < answer->item_count; i++) {
-		const struct waxwing_store_item *item = &answer->items[i];
-
-		g_ptr_array_add(journal->read, g_bytes_new(item->value.data, item->value.len));
-		g_ptr_array_add(journal->segments, waxwing_str_dup(item->key));
-	}
+	for (size_t i = 0; i < answer->item_count; i++)
+		read_segment(journal, &answer->items[i]);
 	g_free(journal->after_key);
 	journal->after_key = NULL;
 	if (answer->more && answer->item_count)
@@ -211,27 +201,19 @@
 static void gather_segment(struct waxwing_journal *journal)
 {
 	Waxwing__JournalSegment segment = WAXWING__JOURNAL_SEGMENT__INIT;
-	GPtrArray *records = g_ptr_array_new();
 	size_t bytes = 0;
+	guint count = 0;
 
 	segment.number = journal->next_segment++;
-	while (records->len < journal->gathered->len &&
-	       bytes < FILL_SHARE * journal->options.value_bytes_most) {
-		gsize len;
-		const uint8_t *data =
-			g_bytes_get_data(journal->gathered->pdata[records->len], &len);
-
-		g_ptr_array_add(records, waxwing__journal_record__unpack(NULL, len, data));
-		bytes += len;
-	}
-	segment.n_records = records->len;
-	segment.records = (Waxwing__JournalRecord **)records->pdata;
+	while (count < journal->gathered->len &&
+	       bytes < FILL_SHARE * journal->options.value_bytes_most)
+		bytes +=
+			waxwing__journal_record__get_packed_size(journal->gathered->pdata[count++]);
+	segment.n_records = count;
+	segment.records = (Waxwing__JournalRecord **)journal->gathered->pdata;
 	pack_segment(journal, &segment);
-	journal->out_upto = journal->added - journal->gathered->len + records->len;
-	for (guint i = 0; i < records->len; i++)
-		waxwing__journal_record__free_unpacked(records->pdata[i], NULL);
-	g_ptr_array_remove_range(journal->gathered, 0, records->len);
-	g_ptr_array_free(records, TRUE);
+	journal->out_upto = journal->added - journal->gathered->len + count;
+	g_ptr_array_remove_range(journal->gathered, 0, count);
 }
 
 /* When what holds does not fit into one value, the segments stay. */
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -26,8 +26,9 @@
 /* A turn of the loop that took so long is noted: the machine stood still, or was short of time. */
 #define STALL_MS 250
 
-static void note_reached(struct waxwing_node *node, bool reached)
+static void store_reached(void *data, bool reached)
 {
+	struct waxwing_node *node = data;
 	int64_t now_ms = node_now(node);
 
 	if (reached) {
@@ -49,11 +50,6 @@
 	}
 }
 
-static void store_reached(void *data, bool reached)
-{
-	note_reached(data, reached);
-}
-
 /* Nothing is known of the time before the first answer. */
 static void executors_reached(void *data, bool reached)
 {
@@ -61,7 +57,7 @@
 
 	if (!node->list_sure_ms)
 		node->list_sure_ms = node_now(node) + LIST_BACK_MS;
-	note_reached(node, reached);
+	store_reached(node, reached);
 }
 
 static void routing_changed(void *data, const struct waxwing_store_item *item)
@@ -86,7 +82,6 @@
 		      (unsigned long long)item->revision);
 	waxwing_routing_destroy(node->routing);
 	node->routing = routing;
-	node->routing_ms = node_now(node);
 }
 
 static void owner_entry_changed(void *data, const struct waxwing_store_item *item)
@@ -178,6 +173,7 @@
 	node->next_ownership = 1;
 	node->cells = g_ptr_array_new();
 	node->asks = g_ptr_array_new_with_free_func(g_free);
+	node->entries = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, node_entry_free);
 	node->tolds = g_ptr_array_new_with_free_func(g_free);
 	node->verdicts = g_ptr_array_new_with_free_func(g_free);
 	node->pendings =
@@ -205,8 +201,7 @@
 	g_ptr_array_free(node->verdicts, TRUE);
 	g_ptr_array_free(node->asks, TRUE);
 	g_ptr_array_free(node->tolds, TRUE);
-	if (node->entries)
-		g_hash_table_destroy(node->entries);
+	g_hash_table_destroy(node->entries);
 	g_free(node);
 }
 
--- a/src/node/node_jobs.c
+++ b/src/node/node_jobs.c
@@ -4,6 +4,8 @@
 #include "event_log.h"
 #include "log.h"
 
+#include "message.h"
+
 /* An offer whose receipt is not confirmed is sent again after this. */
 #define OFFER_AGAIN_MS 120
 /* The same of a job that must be kept: its owner may be reading the journal, and says nothing then. */
@@ -37,18 +39,6 @@
 	g_free(pending);
 }
 
-static Waxwing__Job *copy_job(const Waxwing__Job *job)
-{
-	size_t len = waxwing__job__get_packed_size(job);
-	uint8_t *packed = g_malloc(len);
-	Waxwing__Job *copy;
-
-	waxwing__job__pack(job, packed);
-	copy = waxwing__job__unpack(NULL, len, packed);
-	g_free(packed);
-	return copy;
-}
-
 static uint32_t first_needs_milli(const Waxwing__Job *job)
 {
 	uint32_t needs = 0;
@@ -105,10 +95,10 @@
 	struct node_cell *at = pending->cell;
 	Waxwing__JobOffer fields = WAXWING__JOB_OFFER__INIT;
 	Waxwing__NodeMessage message = WAXWING__NODE_MESSAGE__INIT;
-	Waxwing__JobOffer *own;
 
 	pending->token = waxwing_claim_owner(at->claim)->fencing_token;
 	pending->offered_ms = now_ms;
+	fields.job = pending->job;
 	fields.age_ms = (uint32_t)(now_ms - pending->arrived_ms);
 	fields.has_running_before = pending->offered_before;
 	fields.running_before = pending->offered_before;
@@ -119,19 +109,13 @@
 		      (unsigned long long)pending->token, pending->offered_before, fields.age_ms,
 		      at->wait_ms, at->free_milli,
 		      (long long)(at->cell ? 0 : now_ms - at->heard_ms));
-	if (!at->cell) {
-		fields.job = pending->job;
-		message.offer = &fields;
-		node_send(at, &message);
+	if (at->cell) {
+		pending->accepted = true; /* a message to oneself is not lost */
+		node_owner_offer(at, WAXWING_ISSUER_SELF, waxwing_message_copy(&fields.base));
 		return;
 	}
-	own = calloc(1, sizeof(*own));
-	if (!own)
-		g_error("no memory for an offer");
-	*own = fields;
-	own->job = copy_job(pending->job);
-	pending->accepted = true; /* a message to oneself is not lost */
-	node_owner_offer(at, WAXWING_ISSUER_SELF, own);
+	message.offer = &fields;
+	node_send(at, &message);
 }
 
 static void withdraw(struct pending *pending)
--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -18,25 +18,18 @@
 
 /* An order that is out, and the ownership that gave it. */
 struct order {
-	struct waxwing_node *node;
-	guint cell;
+	struct node_cell *at;
 	uint64_t ownership;
 	uint64_t life;
 	struct waxwing_run_name name;
 };
 
-/* What the list says of an executor, kept to tell new cells. */
-struct entry_copy {
-	struct waxwing_store_item item;
-};
-
 static struct order *create_order(struct node_cell *at, uint64_t life,
 				  const struct waxwing_run_name *name)
 {
 	struct order *order = g_new0(struct order, 1);
 
-	order->node = at->node;
-	g_ptr_array_find(at->node->cells, at, &order->cell);
+	order->at = at;
 	order->ownership = at->ownership;
 	order->life = life;
 	if (name)
@@ -47,10 +40,10 @@
 /* The owned cell that gave an order; null when it is owned no more. Frees nothing. */
 static struct waxwing_cell *order_cell(const struct order *order)
 {
-	struct node_cell *at = order->node->cells->pdata[order->cell];
+	struct node_cell *at = order->at;
 
-	order->node->touched = true;
-	return at->cell && at->ownership == order->ownership ? at->cell : NULL;
+	at->node->touched = true;
+	return at->ownership == order->ownership ? at->cell : NULL;
 }
 
 static void start_done(void *data, enum waxwing_start_answer answer, int64_t clock_ms)
@@ -59,8 +52,8 @@
 	struct waxwing_cell *cell = order_cell(order);
 
 	if (cell)
-		waxwing_cell_start_answered(cell, node_now(order->node), order->life, &order->name,
-					    answer, clock_ms);
+		waxwing_cell_start_answered(cell, node_now(order->at->node), order->life,
+					    &order->name, answer, clock_ms);
 	g_free(order);
 }
 
@@ -70,8 +63,8 @@
 	struct waxwing_cell *cell = order_cell(order);
 
 	if (cell)
-		waxwing_cell_stop_answered(cell, node_now(order->node), order->life, &order->name,
-					   answered);
+		waxwing_cell_stop_answered(cell, node_now(order->at->node), order->life,
+					   &order->name, answered);
 	g_free(order);
 }
 
@@ -81,7 +74,7 @@
 	struct waxwing_cell *cell = order_cell(order);
 
 	if (cell)
-		waxwing_cell_hold_answered(cell, node_now(order->node), order->life, answer);
+		waxwing_cell_hold_answered(cell, node_now(order->at->node), order->life, answer);
 	g_free(order);
 }
 
@@ -137,19 +130,33 @@
 	executors->ops->hold(executors, &hold);
 }
 
+/* A message of the present ownership, without its content. */
+static Waxwing__NodeMessage begin_message(const struct node_cell *at)
+{
+	Waxwing__NodeMessage message = WAXWING__NODE_MESSAGE__INIT;
+
+	message.cell = at->name;
+	message.fencing_token = waxwing_claim_owner(at->claim)->fencing_token;
+	return message;
+}
+
+static void send_answer(const struct node_cell *at, uint64_t sender,
+			const Waxwing__NodeMessage *message)
+{
+	at->node->link->ops->answer(at->node->link, sender, message);
+}
+
 static void give_verdict(void *data, uint64_t issuer, const Waxwing__JobVerdict *verdict)
 {
 	struct node_cell *at = data;
-	Waxwing__NodeMessage message = WAXWING__NODE_MESSAGE__INIT;
+	Waxwing__NodeMessage message = begin_message(at);
 
 	if (issuer == WAXWING_ISSUER_SELF) {
 		node_jobs_verdict(at, verdict);
 		return;
 	}
-	message.cell = at->name;
-	message.fencing_token = waxwing_claim_owner(at->claim)->fencing_token;
 	message.verdict = (Waxwing__JobVerdict *)verdict;
-	at->node->link->ops->answer(at->node->link, issuer, &message);
+	send_answer(at, issuer, &message);
 }
 
 static uint64_t add_record(void *data, const Waxwing__JournalRecord *record)
@@ -162,7 +169,7 @@
 static void tell_state(void *data, uint64_t asker, const Waxwing__JobTold *told)
 {
 	struct node_cell *at = data;
-	Waxwing__NodeMessage message = WAXWING__NODE_MESSAGE__INIT;
+	Waxwing__NodeMessage message = begin_message(at);
 
 	/* a successor that is not known here yet may have accepted the job */
 	if (told->state == WAXWING_STATE_NONE && !waxwing_claim_is_sure(at->claim))
@@ -171,10 +178,8 @@
 		node_asks_told(at->node, told);
 		return;
 	}
-	message.cell = at->name;
-	message.fencing_token = waxwing_claim_owner(at->claim)->fencing_token;
 	message.told = (Waxwing__JobTold *)told;
-	at->node->link->ops->answer(at->node->link, asker, &message);
+	send_answer(at, asker, &message);
 }
 
 /* Only noted here: the cell is in the midst of its work. */
@@ -285,34 +290,30 @@
 	}
 }
 
-static void copy_free(gpointer value)
+void node_entry_free(gpointer value)
 {
-	struct entry_copy *copy = value;
+	struct waxwing_store_item *entry = value;
 
-	g_free((char *)copy->item.key.data);
-	g_free((char *)copy->item.value.data);
-	g_free(copy);
+	g_free((char *)entry->key.data);
+	g_free((char *)entry->value.data);
+	g_free(entry);
 }
 
 void node_executors_changed(struct waxwing_node *node, const struct waxwing_store_item *item)
 {
-	struct entry_copy *copy;
-	char *key = waxwing_str_dup(item->key);
+	struct waxwing_store_item *entry = g_new0(struct waxwing_store_item, 1);
 
-	if (!node->entries)
-		node->entries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, copy_free);
+	*entry = *item;
+	entry->key.data = waxwing_str_dup(item->key);
+	entry->value.data = waxwing_str_dup(item->value);
 	if (item->deleted) {
-		lose_entry(node, key);
-		g_hash_table_remove(node->entries, key);
-		g_free(key);
+		lose_entry(node, entry->key.data);
+		g_hash_table_remove(node->entries, entry->key.data);
+		node_entry_free(entry);
 		return;
 	}
-	copy = g_new0(struct entry_copy, 1);
-	copy->item = *item;
-	copy->item.key.data = waxwing_str_dup(item->key);
-	copy->item.value.data = waxwing_str_dup(item->value);
-	g_hash_table_replace(node->entries, key, copy);
-	node->options.read_executor(&copy->item, use_entry, node);
+	g_hash_table_replace(node->entries, (gpointer)entry->key.data, entry);
+	node->options.read_executor(entry, use_entry, node);
 }
 
 static void tell_entries(struct waxwing_node *node)
@@ -320,14 +321,9 @@
 	GHashTableIter iter;
 	gpointer value;
 
-	if (!node->entries)
-		return;
 	g_hash_table_iter_init(&iter, node->entries);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct entry_copy *copy = value;
-
-		node->options.read_executor(&copy->item, use_entry, node);
-	}
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		node->options.read_executor(value, use_entry, node);
 }
 
 void node_owner_begin(struct node_cell *at, uint64_t token)
@@ -365,20 +361,17 @@
 
 void node_owner_end(struct node_cell *at)
 {
-	Waxwing__NodeMessage message = WAXWING__NODE_MESSAGE__INIT;
+	Waxwing__NodeMessage message = begin_message(at);
 	GHashTableIter iter;
 	gpointer value;
 
 	if (!at->cell)
 		return;
-	message.cell = at->name;
-	message.fencing_token = waxwing_claim_owner(at->claim)->fencing_token;
 	message.has_released = true;
 	message.released = true;
 	g_hash_table_iter_init(&iter, at->issuers);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		at->node->link->ops->answer(at->node->link, ((struct issuer *)value)->sender,
-					    &message);
+		send_answer(at, ((struct issuer *)value)->sender, &message);
 	g_hash_table_destroy(at->issuers);
 	at->issuers = NULL;
 	waxwing_cell_destroy(at->cell);
@@ -389,7 +382,7 @@
 		      (unsigned long long)message.fencing_token);
 }
 
-static struct issuer *find_issuer(struct node_cell *at, uint64_t sender, int64_t now_ms)
+static void note_heard(struct node_cell *at, uint64_t sender, int64_t now_ms)
 {
 	struct issuer *issuer = g_hash_table_lookup(at->issuers, &sender);
 
@@ -400,7 +393,6 @@
 	}
 	issuer->heard_ms = now_ms;
 	issuer->gone = false;
-	return issuer;
 }
 
 /*
@@ -477,20 +469,15 @@
 	Waxwing__CellOwner owner;
 };
 
-/* What pong tells of a queue. */
-struct waiting_list {
-	GPtrArray *rows; /* Waxwing__QueueWaiting */
-};
-
+/* Adds a row of what a pong tells of queues. */
 static void add_waiting(void *data, const char *queue, uint32_t jobs)
 {
-	struct waiting_list *list = data;
 	Waxwing__QueueWaiting *row = g_new0(Waxwing__QueueWaiting, 1);
 
 	waxwing__queue_waiting__init(row);
 	row->queue = (char *)queue;
 	row->jobs = jobs;
-	g_ptr_array_add(list->rows, row);
+	g_ptr_array_add(data, row);
 }
 
 /* Nodes that the store does not answer learn of new owners from those that know. */
@@ -524,34 +511,32 @@
 
 static void answer_ping(struct node_cell *at, uint64_t sender, const Waxwing__CellPing *ping)
 {
-	Waxwing__NodeMessage message = WAXWING__NODE_MESSAGE__INIT;
+	Waxwing__NodeMessage message = begin_message(at);
 	Waxwing__CellPong pong = WAXWING__CELL_PONG__INIT;
-	struct waiting_list list = { g_ptr_array_new_with_free_func(g_free) };
+	GPtrArray *waiting = g_ptr_array_new_with_free_func(g_free);
 	GPtrArray *news = gather_news(at->node, ping);
 	struct waxwing_cell_view view;
 	int64_t now_ms = node_now(at->node);
 
 	waxwing_cell_view(at->cell, now_ms, &view);
-	waxwing_cell_waiting(at->cell, add_waiting, &list);
+	waxwing_cell_waiting(at->cell, add_waiting, waiting);
 	pong.ping_ms = ping->sent_ms;
 	pong.owner_ms = (uint64_t)now_ms;
 	pong.free_milli = view.free_milli;
 	pong.wait_ms = view.wait_ms;
-	pong.n_waiting = list.rows->len;
-	pong.waiting = (Waxwing__QueueWaiting **)list.rows->pdata;
+	pong.n_waiting = waiting->len;
+	pong.waiting = (Waxwing__QueueWaiting **)waiting->pdata;
 	pong.n_owners = news->len;
 	pong.owners = (Waxwing__OwnerNews **)news->pdata;
-	message.cell = at->name;
-	message.fencing_token = waxwing_claim_owner(at->claim)->fencing_token;
 	message.pong = &pong;
-	at->node->link->ops->answer(at->node->link, sender, &message);
-	g_ptr_array_free(list.rows, TRUE);
+	send_answer(at, sender, &message);
+	g_ptr_array_free(waiting, TRUE);
 	g_ptr_array_free(news, TRUE);
 }
 
 static void take_offer(struct node_cell *at, uint64_t sender, Waxwing__NodeMessage *message)
 {
-	Waxwing__NodeMessage answer = WAXWING__NODE_MESSAGE__INIT;
+	Waxwing__NodeMessage answer = begin_message(at);
 	int64_t age_ms = node_now(at->node) - (int64_t)message->heard_ms;
 	Waxwing__JobOffer *offer = message->offer;
 
@@ -561,30 +546,26 @@
 		return;
 	}
 	/* a job that must be kept is taken once it is stored */
-	answer.cell = at->name;
-	answer.fencing_token = message->fencing_token;
 	answer.has_accepted = !offer->job->kept;
 	answer.accepted = offer->job->id;
 	if (answer.has_accepted)
-		at->node->link->ops->answer(at->node->link, sender, &answer);
+		send_answer(at, sender, &answer);
 	message->offer = NULL;
 	node_owner_offer(at, sender, offer);
 }
 
 void node_owner_message(struct node_cell *at, uint64_t sender, Waxwing__NodeMessage *message)
 {
-	Waxwing__NodeMessage answer = WAXWING__NODE_MESSAGE__INIT;
-	uint64_t token = waxwing_claim_owner(at->claim)->fencing_token;
+	Waxwing__NodeMessage answer = begin_message(at);
 
-	if (!at->cell || message->fencing_token != token) {
-		answer.cell = at->name;
+	if (!at->cell || message->fencing_token != answer.fencing_token) {
 		answer.fencing_token = message->fencing_token;
 		answer.has_released = true;
 		answer.released = true;
-		at->node->link->ops->answer(at->node->link, sender, &answer);
+		send_answer(at, sender, &answer);
 		return;
 	}
-	find_issuer(at, sender, node_now(at->node));
+	note_heard(at, sender, node_now(at->node));
 	if (message->ping)
 		answer_ping(at, sender, message->ping);
 	if (message->has_withdraw)
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -78,8 +78,9 @@
 	GPtrArray *cells; /* struct node_cell */
 	GHashTable *pendings; /* id -> pending */
 	GPtrArray *asks; /* struct asking */
-	GPtrArray *tolds; /* struct told_copy: to be told once the cells have done their work */
-	GHashTable *entries; /* executor key -> struct entry_copy */
+	GPtrArray *tolds; /* Waxwing__JobTold: to be told once the cells have done their work */
+	GHashTable
+		*entries; /* key -> struct waxwing_store_item: the executors, to tell new cells */
 	uint64_t incarnation;
 	uint64_t next_ownership;
 	int64_t last_turn_ms;
@@ -88,7 +89,6 @@
 	int64_t store_lost_ms; /* 0: it answers */
 	GPtrArray
 		*verdicts; /* struct verdict_copy: to be told once the cells have done their work */
-	int64_t routing_ms; /* when it came into force */
 	bool leaving;
 	bool touched; /* a cell has had events since it last ran */
 	uint64_t submitted;
@@ -111,6 +111,7 @@
 void node_owner_run(struct node_cell *at, int64_t now_ms);
 void node_owner_offer(struct node_cell *at, uint64_t sender, Waxwing__JobOffer *offer);
 void node_owner_message(struct node_cell *at, uint64_t sender, Waxwing__NodeMessage *message);
+void node_entry_free(gpointer value);
 void node_executors_changed(struct waxwing_node *node, const struct waxwing_store_item *item);
 
 /* node_jobs.c */
--- a/src/node/store.h
+++ b/src/node/store.h
@@ -49,13 +49,12 @@
 	void *data;
 };
 
-/** All or nothing: puts or removes one key if it stands at a revision. */
+/** Puts one key if it stands at a revision. */
 struct waxwing_store_change {
 	const char *key;
 	uint64_t expected_revision; /**< 0: there must be no such key */
 	struct waxwing_str value;
 	uint64_t lease; /**< 0: none */
-	bool remove;
 };
 
 /** Puts a new key under the condition that another one still stands, and removes old ones. */
--- a/test/node_world.h
+++ b/test/node_world.h
@@ -241,7 +241,6 @@
 	uint64_t number; /* revision or lease */
 	uint64_t lease;
 	uint32_t wait_ms;
-	bool remove;
 	bool unanswered;
 	char *guard_key;
 	char **removes;
@@ -451,10 +450,7 @@
 		return;
 	}
 	call->unanswered = call->unanswered || world_chance(world, world->store_lost_share);
-	if (call->remove)
-		store_remove(world, call->key);
-	else
-		store_put(world, call->key, call->value, call->len, call->lease);
+	store_put(world, call->key, call->value, call->len, call->lease);
 	call->answer.revision = world->revision;
 	store_answer(call, WAXWING_STORE_OK);
 }
@@ -641,7 +637,6 @@
 	call->len = change->value.len;
 	call->number = change->expected_revision;
 	call->lease = change->lease;
-	call->remove = change->remove;
 }
 
 static void fake_append(struct waxwing_store *store, const struct waxwing_store_append *append,
