--- a/src/bench/bench_policy_due.c
+++ b/src/bench/bench_policy_due.c
@@ -7,10 +7,7 @@
  * in use where it ends in time and that is the slowest. When a job cannot be in time any more, the job with
  * most work to start up to it in the line is given twice the multiple.
  */
-#include "bench_plan.h"
-#include "bench_policy.h"
-
-#include <glib.h>
+#include "bench_line.h"
 
 /** Tasks planned at a time, at most. */
 #define LOOK_AHEAD 400
@@ -22,67 +19,10 @@
 #define KEPT_SLOTS 8
 #define SHORT_US   300000
 
-struct due_job {
-	uint32_t job;
-	double stretch; /**< multiple of the ideal response at which it is due */
-	int64_t due_us; /**< for the last end to be heard at the issuer */
-	int64_t work_us; /**< not started */
-	GArray *tasks; /**< numbers, the longest last */
-	GSequenceIter *place;
-};
-
-struct due_domain {
-	GSequence *queue; /**< of struct due_job */
-	struct waxwing_bench_plan slots;
-};
-
-struct due_policy {
-	struct waxwing_bench_policy base;
-	struct due_domain *domains;
-	struct due_job **jobs;
-};
-
-static void due_job_free(void *data)
-{
-	struct due_job *job = data;
-
-	g_array_free(job->tasks, TRUE);
-	g_free(job);
-}
-
-static struct waxwing_bench_policy *due_create(struct waxwing_bench_sim *sim)
-{
-	const struct waxwing_bench_workload *workload = waxwing_bench_sim_workload(sim);
-	struct due_policy *policy = g_new0(struct due_policy, 1);
-
-	policy->base.ops = &waxwing_bench_policy_due;
-	policy->base.sim = sim;
-	policy->jobs = g_new0(struct due_job *, workload->job_count);
-	policy->domains = g_new0(struct due_domain, workload->profile->domains);
-	for (uint32_t i = 0; i < workload->profile->domains; i++) {
-		policy->domains[i].queue = g_sequence_new(due_job_free);
-		waxwing_bench_plan_init(&policy->domains[i].slots, sim, i);
-	}
-	return &policy->base;
-}
-
-static void due_destroy(struct waxwing_bench_policy *base)
-{
-	struct due_policy *policy = (struct due_policy *)base;
-
-	for (uint32_t i = 0; i < waxwing_bench_sim_workload(base->sim)->profile->domains; i++) {
-		g_sequence_free(policy->domains[i].queue);
-		waxwing_bench_plan_clear(&policy->domains[i].slots);
-	}
-	g_free(policy->domains);
-	g_free(policy->jobs);
-	g_free(policy);
-}
-
 static gint compare_jobs(gconstpointer left, gconstpointer right, gpointer data)
 {
-	const struct due_job *a = left;
-	const struct due_job *b = right;
+	const struct waxwing_bench_line_job *a = left;
+	const struct waxwing_bench_line_job *b = right;
 
 	(void)data;
 	if (a->due_us != b->due_us)
@@ -110,45 +50,26 @@
 	return planned;
 }
 
-static void started(struct due_policy *policy, struct due_job *job, guint index)
-{
-	const struct waxwing_bench_workload *workload =
-		waxwing_bench_sim_workload(policy->base.sim);
-	uint32_t task = g_array_index(job->tasks, uint32_t, index);
-
-	job->work_us -= workload->tasks[task].work_us;
-	g_array_remove_index(job->tasks, index);
-}
-
 /* Plans the job's tasks, the longest first; false when one would end too late. */
-static bool plan_job(struct due_policy *policy, struct due_domain *domain, struct due_job *job,
-		     uint32_t *budget)
+static bool plan_job(struct waxwing_bench_line_policy *policy, struct waxwing_bench_line *line,
+		     struct waxwing_bench_line_job *job, uint32_t *budget)
 {
 	for (guint i = job->tasks->len;
-	     i-- > 0 && *budget && waxwing_bench_plan_free(&domain->slots);) {
+	     i-- > 0 && *budget && waxwing_bench_plan_free(&line->slots);) {
 		uint32_t task = g_array_index(job->tasks, uint32_t, i);
-		uint32_t slot = slowest_in_time(&domain->slots, task, job->due_us);
+		uint32_t slot = slowest_in_time(&line->slots, task, job->due_us);
 
 		--*budget;
-		if (slot == domain->slots.slots)
+		if (slot == line->slots.slots)
 			return false;
-		if (waxwing_bench_plan_place(&domain->slots, slot, task))
-			started(policy, job, i);
+		if (waxwing_bench_plan_place(&line->slots, slot, task))
+			waxwing_bench_line_started(policy, job, i);
 	}
 	return true;
 }
 
-static void forget(struct due_policy *policy, uint32_t number)
-{
-	struct due_job *job = policy->jobs[number];
-
-	if (!job)
-		return;
-	policy->jobs[number] = NULL;
-	g_sequence_remove(job->place);
-}
-
-static void set_due(const struct due_policy *policy, struct due_job *job, double stretch)
+static void set_due(const struct waxwing_bench_line_policy *policy,
+		    struct waxwing_bench_line_job *job, double stretch)
 {
 	const struct waxwing_bench_job *drawn =
 		&waxwing_bench_sim_workload(policy->base.sim)->jobs[job->job];
@@ -159,14 +80,14 @@
 }
 
 /* Puts off the job with most work to start, of those up to the late one. */
-static void put_off(const struct due_policy *policy, const struct due_domain *domain,
-		    struct due_job *late)
+static void put_off(const struct waxwing_bench_line_policy *policy,
+		    const struct waxwing_bench_line *line, struct waxwing_bench_line_job *late)
 {
-	GSequenceIter *at = g_sequence_get_begin_iter(domain->queue);
-	struct due_job *largest = late;
+	GSequenceIter *at = g_sequence_get_begin_iter(line->queue);
+	struct waxwing_bench_line_job *largest = late;
 
 	for (; !g_sequence_iter_is_end(at); at = g_sequence_iter_next(at)) {
-		struct due_job *job = g_sequence_get(at);
+		struct waxwing_bench_line_job *job = g_sequence_get(at);
 
 		if (job->work_us > largest->work_us)
 			largest = job;
@@ -178,74 +99,55 @@
 }
 
 /* Plans the line once; false when a job was put off and the plan is to be made again. */
-static bool plan_once(struct due_policy *policy, struct due_domain *domain)
+static bool plan_once(struct waxwing_bench_line_policy *policy, struct waxwing_bench_line *line)
 {
-	GSequenceIter *at = g_sequence_get_begin_iter(domain->queue);
+	GSequenceIter *at = g_sequence_get_begin_iter(line->queue);
 	uint32_t budget = LOOK_AHEAD;
 
-	waxwing_bench_plan_begin(&domain->slots);
-	while (budget && !g_sequence_iter_is_end(at) && waxwing_bench_plan_free(&domain->slots)) {
-		struct due_job *job = g_sequence_get(at);
+	waxwing_bench_plan_begin(&line->slots);
+	while (budget && !g_sequence_iter_is_end(at) && waxwing_bench_plan_free(&line->slots)) {
+		struct waxwing_bench_line_job *job = g_sequence_get(at);
 
 		at = g_sequence_iter_next(at);
-		if (!plan_job(policy, domain, job, &budget)) {
-			put_off(policy, domain, job);
+		if (!plan_job(policy, line, job, &budget)) {
+			put_off(policy, line, job);
 			return false;
 		}
 		if (!job->tasks->len)
-			forget(policy, job->job);
+			waxwing_bench_line_forget(policy, job->job);
 	}
 	return true;
 }
 
-static void plan(struct due_policy *policy, uint32_t number)
+static void prepare(const struct waxwing_bench_line_policy *policy,
+		    struct waxwing_bench_line_job *job)
 {
-	while (!plan_once(policy, &policy->domains[number]))
-		;
-}
-
-static void due_arrive(struct waxwing_bench_policy *base, uint32_t number)
-{
-	struct due_policy *policy = (struct due_policy *)base;
-	const struct waxwing_bench_workload *workload = waxwing_bench_sim_workload(base->sim);
-	const struct waxwing_bench_job *drawn = &workload->jobs[number];
-	struct due_job *job = g_new0(struct due_job, 1);
-
-	job->job = number;
-	job->work_us = drawn->work_us;
 	set_due(policy, job, STRETCH);
-	job->tasks = waxwing_bench_plan_tasks(workload, drawn);
-	policy->jobs[number] = job;
-	job->place = g_sequence_insert_sorted(policy->domains[drawn->domain].queue, job,
-					      compare_jobs, NULL);
-	plan(policy, drawn->domain);
 }
 
-static void due_ended(struct waxwing_bench_policy *base, uint32_t task, uint32_t upstream,
-		      enum waxwing_slot_outcome outcome, uint32_t run_ms)
+static void plan(struct waxwing_bench_line_policy *policy, struct waxwing_bench_line *line)
 {
-	struct due_policy *policy = (struct due_policy *)base;
-	const struct waxwing_bench_workload *workload = waxwing_bench_sim_workload(base->sim);
-	uint32_t number = workload->jobs[workload->tasks[task].job].domain;
-
-	(void)upstream;
-	(void)outcome;
-	(void)run_ms;
-	waxwing_bench_plan_ended(&policy->domains[number].slots, task);
-	plan(policy, number);
+	while (!plan_once(policy, line))
+		;
 }
 
-static void due_withdraw(struct waxwing_bench_policy *base, uint32_t job)
+static const struct waxwing_bench_line_ops due_ops = {
+	.compare = compare_jobs,
+	.prepare = prepare,
+	.plan = plan,
+};
+
+static struct waxwing_bench_policy *due_create(struct waxwing_bench_sim *sim)
 {
-	forget((struct due_policy *)base, job);
+	return waxwing_bench_line_create(sim, &waxwing_bench_policy_due, &due_ops);
 }
 
 const struct waxwing_bench_policy_ops waxwing_bench_policy_due = {
 	.name = "due",
 	.about = "one queue that knows all and aims at 2.45 ideals for every job",
 	.create = due_create,
-	.destroy = due_destroy,
-	.arrive = due_arrive,
-	.ended = due_ended,
-	.withdraw = due_withdraw,
+	.destroy = waxwing_bench_line_destroy,
+	.arrive = waxwing_bench_line_arrive,
+	.ended = waxwing_bench_line_ended,
+	.withdraw = waxwing_bench_line_withdraw,
 };
