--- a/test/test_node_faults.c
+++ b/test/test_node_faults.c
@@ -141,12 +141,14 @@
 	world_destroy(world);
 }
 
-static void test_owner_frozen(void)
+/* An owner that stands still for some time, with a share of jobs that must be kept. */
+static void freeze_owners(double kept_share)
 {
 	for (uint32_t seed = 1; seed <= 10; seed++) {
 		struct world *world = begin(seed);
 		int owner = owner_of(world, 1);
 
+		world->kept_share = kept_share;
 		serve(world, 1000);
 		world->nodes[owner].frozen_until_ms =
 			world_now(world) + g_rand_int_range(world->random, 300, 4500);
@@ -156,6 +158,11 @@
 	}
 }
 
+static void test_owner_frozen(void)
+{
+	freeze_owners(0);
+}
+
 /* Cut off with its executors, a failure domain goes on serving its own callers. */
 static void test_zone_cut(void)
 {
@@ -308,15 +315,21 @@
 	world_destroy(world);
 }
 
-static void all_killed(void)
+/* All nodes are killed at once, and start again after @ms. */
+static void restart_all(struct world *world, int64_t ms)
 {
-	struct world *world = begin(12);
-
-	serve(world, 1000);
 	kill_all(world);
-	world_run(world, 1500);
+	world_run(world, ms);
 	for (int i = 0; i < NODES; i++)
 		node_start(world, i);
+}
+
+static void test_all_killed(void)
+{
+	struct world *world = begin(12);
+
+	serve(world, 1000);
+	restart_all(world, 1500);
 	serve(world, 3000);
 	assert_all_answered(world);
 	world_destroy(world);
@@ -413,10 +426,7 @@
 
 		world->kept_share = 1;
 		serve(world, 2000);
-		kill_all(world);
-		world_run(world, g_rand_int_range(world->random, 50, 2500));
-		for (int i = 0; i < NODES; i++)
-			node_start(world, i);
+		restart_all(world, g_rand_int_range(world->random, 50, 2500));
 		serve(world, 3000);
 		assert_all_answered(world);
 		world_destroy(world);
@@ -450,10 +460,7 @@
 	while (g_hash_table_iter_next(&iter, &key, NULL))
 		segments += g_str_has_prefix(key, "journal/");
 	g_assert_cmpuint(segments, <, 3 * 400);
-	kill_all(world);
-	world_run(world, 1500);
-	for (int i = 0; i < NODES; i++)
-		node_start(world, i);
+	restart_all(world, 1500);
 	serve(world, 1000);
 	assert_all_answered(world);
 	world_destroy(world);
@@ -461,18 +468,7 @@
 
 static void test_kept_owner_frozen(void)
 {
-	for (uint32_t seed = 1; seed <= 10; seed++) {
-		struct world *world = begin(seed);
-		int owner = owner_of(world, 1);
-
-		world->kept_share = 1;
-		serve(world, 1000);
-		world->nodes[owner].frozen_until_ms =
-			world_now(world) + g_rand_int_range(world->random, 300, 4500);
-		serve(world, 6000);
-		assert_all_answered(world);
-		world_destroy(world);
-	}
+	freeze_owners(1);
 }
 
 static uint32_t seed_or(const char *variable, uint32_t otherwise)
@@ -522,7 +518,7 @@
 	g_test_add_func("/node/executor_cut", test_executor_cut);
 	g_test_add_func("/node/executor_restarts", test_executor_restarts);
 	g_test_add_func("/node/leave", test_leave);
-	g_test_add_func("/node/all_killed", all_killed);
+	g_test_add_func("/node/all_killed", test_all_killed);
 	g_test_add_func("/node/kept_calm", test_kept_calm);
 	g_test_add_func("/node/kept_all_killed", test_kept_all_killed);
 	g_test_add_func("/node/kept_lost_answers", test_kept_lost_answers);
