--- a/src/node/journal.c
+++ b/src/node/journal.c
@@ -14,7 +14,7 @@
 #define SEGMENTS_MOST 160
 /* Share of the store's longest value that a segment may fill. */
 #define FILL_SHARE 0.6
-/* Prefix of all journals' keys; the cell's name and the segment's number follow. */
+/* Prefix of all journals' keys; the cell's name, the segment's number and its writer's token follow. */
 #define JOURNAL_PREFIX "journal/"
 
 struct waxwing_journal {
@@ -192,8 +192,10 @@
 	journal->out = g_byte_array_sized_new((guint)len);
 	g_byte_array_set_size(journal->out, (guint)len);
 	waxwing__journal_segment__pack(segment, journal->out->data);
-	journal->out_key =
-		g_strdup_printf("%s%016llx", journal->prefix, (unsigned long long)segment->number);
+	/* a former owner's segment of the same number has a key of its own */
+	journal->out_key = g_strdup_printf("%s%016llx.%llx", journal->prefix,
+					   (unsigned long long)segment->number,
+					   (unsigned long long)journal->options.fencing_token);
 	journal->out_snapshot = segment->snapshot;
 }
 
--- a/test/test_node_faults.c
+++ b/test/test_node_faults.c
@@ -524,6 +524,32 @@
 	world_destroy(world);
 }
 
+/*
+ * An owner that reaches the store again after its successor has written does not take the successor's
+ * segment for its own of that number (/node/mix seed 103: a job was accepted and lost).
+ */
+static void test_kept_former_owner_writes(void)
+{
+	for (uint32_t seed = 1; seed <= 20; seed++) {
+		struct world *world = begin(seed);
+		struct world_node *former = &world->nodes[owner_of(world, 0)];
+
+		/* nobody tells it of its successor; nor do executors, as nothing runs */
+		world->kept_share = 1;
+		former->store_cut = true;
+		former->deaf = true;
+		store_remove(world, "cells/z0");
+		world_run(world, 400);
+		serve(world, g_rand_int_range(world->random, 500, 1500));
+		former->store_cut = false;
+		serve(world, 500);
+		former->deaf = false;
+		serve(world, 1000);
+		assert_all_answered(world);
+		world_destroy(world);
+	}
+}
+
 static void test_kept_owner_frozen(void)
 {
 	freeze_owners(1);
@@ -583,6 +609,7 @@
 	g_test_add_func("/node/kept_all_killed", test_kept_all_killed);
 	g_test_add_func("/node/kept_lost_answers", test_kept_lost_answers);
 	g_test_add_func("/node/kept_snapshot", test_kept_snapshot);
+	g_test_add_func("/node/kept_former_owner_writes", test_kept_former_owner_writes);
 	g_test_add_func("/node/kept_owner_frozen", test_kept_owner_frozen);
 	g_test_add_func("/node/mix", test_mix);
 	return g_test_run();
