Take a task for done when any of its runs has ended so

Cause: a run was given up as lapsed after its executor was silent for the longest lease, and the task was started again. The executor came back and listed the first run as done; the end was passed over, because "another run of it is out; its own end will tell", and acknowledged.

Change: the task is done; the other run is stopped and keeps its room until its executor lists its end.

--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -272,8 +272,8 @@
 		return;
 	if (task->state == TASK_READY)
 		count_ready(cell, job, step, -1);
-	else if (task->state == TASK_OUT && task->run)
-		return; /* another run of it is out; its own end will tell */
+	else if (task->run)
+		run_cast_off(cell, task->run, now_ms);
 	task->state = TASK_DONE;
 	job->steps[step].done++;
 	job->undone--;
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -212,6 +212,7 @@
 void run_adopt(struct waxwing_cell *cell, struct cell_run *run, struct cell_job *job);
 void run_stop(struct waxwing_cell *cell, struct cell_run *run, int64_t now_ms);
 void run_release_task(struct waxwing_cell *cell, struct cell_run *run);
+void run_cast_off(struct waxwing_cell *cell, struct cell_run *run, int64_t now_ms);
 void run_free(struct waxwing_cell *cell, struct cell_run *run);
 void run_ended(struct waxwing_cell *cell, struct cell_run *run, enum waxwing_run_end end,
 	       int64_t now_ms);
--- a/src/cell/cell_run.c
+++ b/src/cell/cell_run.c
@@ -275,6 +275,16 @@
 	executor->hold_wanted = true;
 }
 
+/* An earlier run of the task had ended as done; this one is stopped, and keeps its room until then. */
+void run_cast_off(struct waxwing_cell *cell, struct cell_run *run, int64_t now_ms)
+{
+	run->job->out--;
+	run_task(run)->run = NULL;
+	run->job = NULL;
+	if (run->state != RUN_STOPPING)
+		run_stop(cell, run, now_ms);
+}
+
 /* The task may run elsewhere now; the run keeps its room until its executor's list shows its end. */
 void run_release_task(struct waxwing_cell *cell, struct cell_run *run)
 {
--- a/test/test_cell.c
+++ b/test/test_cell.c
@@ -354,6 +354,38 @@
 	tear_down(&fixture);
 }
 
+/*
+ * A run that was given up as lapsed had ended as done while its executor was silent: the task is done, and
+ * its other run is stopped (/node/mix seed 175: the end was acknowledged, and the task started again).
+ */
+static void test_done_after_lapse(void)
+{
+	struct fixture fixture;
+	struct waxwing_hold_answer silence = { .end = WAXWING_HOLD_NO_ANSWER };
+	struct waxwing_ended_row ended = { .number = 1, .end = WAXWING_RUN_DONE };
+	uint64_t life;
+
+	set_up(&fixture, false);
+	life = ready_executor(&fixture, "a", 8000);
+	offer(&fixture, 1, 1, 6000, 3000, false);
+	run(&fixture, 10);
+	started(&fixture, 0);
+	ready_executor(&fixture, "b", 8000);
+	for (int ms = 0; ms < 1400; ms += 50) {
+		waxwing_cell_hold_answered(fixture.cell, fixture.now_ms, life, &silence);
+		run(&fixture, 50);
+	}
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 2);
+	started(&fixture, 1);
+	ended.name = start_at(&fixture, 0)->name;
+	answer_hold(&fixture, life, NULL, 0, &ended, 1);
+	g_assert_cmpuint(verdict_at(&fixture, 0)->outcome, ==, WAXWING_JOB_COMPLETED);
+	g_assert_cmpuint(fixture.recorder.stops->len, ==, 1);
+	g_assert_cmpuint(g_array_index(fixture.recorder.stops, struct waxwing_run_name, 0).run, ==,
+			 2);
+	tear_down(&fixture);
+}
+
 /* A start without an answer is stopped; its task waits until the run cannot come any more. */
 static void test_start_unanswered(void)
 {
@@ -473,6 +505,7 @@
 	g_test_add_func("/cell/former_owner_goes_on", test_former_owner_goes_on);
 	g_test_add_func("/cell/adopts", test_adopts);
 	g_test_add_func("/cell/silent_executor", test_silent_executor);
+	g_test_add_func("/cell/done_after_lapse", test_done_after_lapse);
 	g_test_add_func("/cell/start_unanswered", test_start_unanswered);
 	g_test_add_func("/cell/new_life", test_new_life);
 	g_test_add_func("/cell/refuses_hopeless", test_refuses_hopeless);
