Count failures of runs that were given up as lapsed, each once

Cause: an end `failed` of a run that the owner had given up as lapsed, or of a former owner's run, was passed over and acknowledged; the task could then be started after as many failures as its queue allows (BUDGET of the users' rules).

Before: /cell/failed_after_lapse fails (no verdict).

--- a/src/cell/cell_hold.c
+++ b/src/cell/cell_hold.c
@@ -96,8 +96,10 @@
 	if (run)
 		run_ended(cell, run, row->end, now_ms);
 	else if (job && row->end == WAXWING_RUN_DONE)
-		/* of a former owner's run */
+		/* of a former owner's run, or of one that was given up as lapsed */
 		job_task_done(cell, job, row->name.step, row->name.index, now_ms);
+	else if (job && row->end == WAXWING_RUN_FAILED)
+		job_run_failed(cell, job, &row->name, executor, now_ms);
 	wait = (struct ack_wait){ row->number, cell->recorded };
 	g_array_append_val(executor->ack_waits, wait);
 }
--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -155,12 +155,19 @@
 	}
 }
 
+static void free_task(struct task *task)
+{
+	if (task->failed_runs)
+		g_array_free(task->failed_runs, TRUE);
+	g_free(task->failed_at);
+}
+
 void job_free(struct waxwing_cell *cell, struct cell_job *job)
 {
 	g_hash_table_remove(cell->jobs, &job->id);
 	for (uint32_t i = 0; i < job->spec->n_steps; i++) {
 		for (uint32_t k = 0; k < job->spec->steps[i]->count; k++)
-			g_free(job->steps[i].tasks[k].failed_at);
+			free_task(&job->steps[i].tasks[k]);
 		g_free(job->steps[i].tasks);
 	}
 	g_free(job->steps);
@@ -278,7 +285,7 @@
 	job->steps[step].done++;
 	job->undone--;
 	if (job->kept)
-		keep_task(cell, job, step, index, false);
+		keep_done(cell, job, step, index);
 	if (!job->undone) {
 		mark_started(job);
 		if (job->kept)
@@ -300,24 +307,46 @@
 	       breaker->failed > breaker->total * SUSPECT_SHARE;
 }
 
-void job_task_failed(struct waxwing_cell *cell, struct cell_job *job, uint32_t step, uint32_t index,
-		     const struct executor *executor, int64_t now_ms)
+uint32_t task_failures(const struct task *task)
 {
-	struct task *task = &job->steps[step].tasks[index];
+	return task->failed_runs ? task->failed_runs->len : 0;
+}
+
+/* An end that was not acknowledged is listed again, to a new owner too. */
+bool task_add_failure(struct task *task, uint32_t run)
+{
+	if (!task->failed_runs)
+		task->failed_runs = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	for (guint i = 0; i < task->failed_runs->len; i++)
+		if (g_array_index(task->failed_runs, uint32_t, i) == run)
+			return false;
+	g_array_append_val(task->failed_runs, run);
+	return true;
+}
+
+/* The task's run, or one that was given up as lapsed: the task may have another by now. */
+void job_run_failed(struct waxwing_cell *cell, struct cell_job *job,
+		    const struct waxwing_run_name *name, const struct executor *executor,
+		    int64_t now_ms)
+{
+	struct task *task = &job->steps[name->step].tasks[name->index];
 	uint32_t most = job->spec->max_attempts;
 
-	task->failures++;
+	if (task->state == TASK_DONE || job->ended)
+		return;
+	if (task_add_failure(task, name->run) && job->kept)
+		keep_failure(cell, name);
 	g_free(task->failed_at);
 	task->failed_at = g_strdup(executor->id);
-	if (job->kept)
-		keep_task(cell, job, step, index, true);
-	else if (is_suspect(executor))
+	if (!job->kept && is_suspect(executor))
 		most += FAILURES_FORGIVEN;
-	if (task->failures < most) {
-		job_task_ready(cell, job, step, index);
+	if (task_failures(task) < most) {
+		if (task->state == TASK_OUT && !task->run)
+			job_task_ready(cell, job, name->step, name->index);
 		return;
 	}
-	task->state = TASK_DONE;
+	if (task->state == TASK_OUT && !task->run)
+		task->state = TASK_DONE;
 	if (job->kept)
 		keep_end(cell, job, now_ms, WAXWING_STATE_FAILED);
 	else
--- a/src/cell/cell_keep.c
+++ b/src/cell/cell_keep.c
@@ -63,8 +63,7 @@
 	job->record_number = record(cell, &made);
 }
 
-static void fill_task(Waxwing__JournalRecord *made, uint64_t id, uint32_t step, uint32_t index,
-		      bool failed)
+static void fill_task(Waxwing__JournalRecord *made, uint64_t id, uint32_t step, uint32_t index)
 {
 	made->has_id = true;
 	made->id = id;
@@ -72,8 +71,6 @@
 	made->step = step;
 	made->has_index = true;
 	made->index = index;
-	made->has_failed = failed;
-	made->failed = failed;
 }
 
 static void fill_end(Waxwing__JournalRecord *made, uint64_t id, enum waxwing_job_state state)
@@ -84,12 +81,21 @@
 	made->final_state = state;
 }
 
-void keep_task(struct waxwing_cell *cell, struct cell_job *job, uint32_t step, uint32_t index,
-	       bool failed)
+void keep_done(struct waxwing_cell *cell, struct cell_job *job, uint32_t step, uint32_t index)
 {
 	Waxwing__JournalRecord made = WAXWING__JOURNAL_RECORD__INIT;
 
-	fill_task(&made, job->id, step, index, failed);
+	fill_task(&made, job->id, step, index);
+	record(cell, &made);
+}
+
+void keep_failure(struct waxwing_cell *cell, const struct waxwing_run_name *name)
+{
+	Waxwing__JournalRecord made = WAXWING__JOURNAL_RECORD__INIT;
+
+	fill_task(&made, name->job, name->step, name->index);
+	made.has_failed_run = true;
+	made.failed_run = name->run;
 	record(cell, &made);
 }
 
@@ -209,8 +215,8 @@
 	if (!job || !job_has_task(job, made->step, made->index))
 		return;
 	task = &job->steps[made->step].tasks[made->index];
-	if (made->failed) {
-		task->failures++;
+	if (made->has_failed_run) {
+		task_add_failure(task, made->failed_run);
 	} else if (task->state != TASK_DONE) {
 		task->state = TASK_DONE;
 		job->steps[made->step].done++;
@@ -252,7 +258,7 @@
 		return WAXWING_STATE_COMPLETED;
 	for (uint32_t i = 0; i < job->spec->n_steps; i++)
 		for (uint32_t k = 0; k < job->steps[i].spec->count; k++)
-			if (job->steps[i].tasks[k].failures >= job->spec->max_attempts)
+			if (task_failures(&job->steps[i].tasks[k]) >= job->spec->max_attempts)
 				return WAXWING_STATE_FAILED;
 	return WAXWING_STATE_NONE;
 }
@@ -297,10 +303,13 @@
 	Waxwing__JournalRecord done = WAXWING__JOURNAL_RECORD__INIT;
 	Waxwing__JournalRecord failed = WAXWING__JOURNAL_RECORD__INIT;
 
-	fill_task(&failed, job->id, step, index, true);
-	for (uint32_t i = 0; i < task->failures; i++)
+	fill_task(&failed, job->id, step, index);
+	failed.has_failed_run = true;
+	for (uint32_t i = 0; i < task_failures(task); i++) {
+		failed.failed_run = g_array_index(task->failed_runs, uint32_t, i);
 		add_record(records, &failed);
-	fill_task(&done, job->id, step, index, false);
+	}
+	fill_task(&done, job->id, step, index);
 	if (task->state == TASK_DONE && !job->ended)
 		add_record(records, &done);
 }
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -36,7 +36,7 @@
 struct task {
 	struct cell_run *run; /* of TASK_OUT */
 	uint32_t last_run; /* highest number used or seen */
-	uint32_t failures;
+	GArray *failed_runs; /* uint32_t: runs that ended as failed; null: none */
 	enum task_state state;
 	char *failed_at; /* id of the executor of the last failure; null: none */
 };
@@ -227,8 +227,11 @@
 void job_task_taken(struct waxwing_cell *cell, struct cell_job *job, uint32_t step, uint32_t index);
 void job_task_done(struct waxwing_cell *cell, struct cell_job *job, uint32_t step, uint32_t index,
 		   int64_t now_ms);
-void job_task_failed(struct waxwing_cell *cell, struct cell_job *job, uint32_t step, uint32_t index,
-		     const struct executor *executor, int64_t now_ms);
+void job_run_failed(struct waxwing_cell *cell, struct cell_job *job,
+		    const struct waxwing_run_name *name, const struct executor *executor,
+		    int64_t now_ms);
+bool task_add_failure(struct task *task, uint32_t run); /* false: it was known */
+uint32_t task_failures(const struct task *task);
 void job_end(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms,
 	     enum waxwing_job_outcome outcome, enum waxwing_error_code reason,
 	     uint32_t retry_after_ms);
@@ -248,8 +251,8 @@
 bool keep_offer(struct waxwing_cell *cell, int64_t now_ms, uint64_t issuer,
 		Waxwing__JobOffer *offer); /* false: it is a new job */
 void keep_begin(struct waxwing_cell *cell, struct cell_job *job);
-void keep_task(struct waxwing_cell *cell, struct cell_job *job, uint32_t step, uint32_t index,
-	       bool failed);
+void keep_done(struct waxwing_cell *cell, struct cell_job *job, uint32_t step, uint32_t index);
+void keep_failure(struct waxwing_cell *cell, const struct waxwing_run_name *name);
 void keep_end(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms,
 	      enum waxwing_job_state state);
 void keep_sweep(struct waxwing_cell *cell, int64_t now_ms);
--- a/src/cell/cell_run.c
+++ b/src/cell/cell_run.c
@@ -139,8 +139,7 @@
 {
 	struct cell_job *job = run->job;
 	struct executor *executor = run->executor;
-	uint32_t step = run->name.step;
-	uint32_t index = run->name.index;
+	struct waxwing_run_name name = run->name;
 
 	log_end(run, end, now_ms);
 	cell->done += end == WAXWING_RUN_DONE;
@@ -159,14 +158,14 @@
 		return;
 	job->out--;
 	if (job->ended) {
-		job->steps[step].tasks[index].state = TASK_DONE;
+		job->steps[name.step].tasks[name.index].state = TASK_DONE;
 		job_leave(cell, job);
 	} else if (end == WAXWING_RUN_DONE) {
-		job_task_done(cell, job, step, index, now_ms);
+		job_task_done(cell, job, name.step, name.index, now_ms);
 	} else if (end == WAXWING_RUN_FAILED) {
-		job_task_failed(cell, job, step, index, executor, now_ms);
+		job_run_failed(cell, job, &name, executor, now_ms);
 	} else {
-		job_task_ready(cell, job, step, index);
+		job_task_ready(cell, job, name.step, name.index);
 	}
 }
 
--- a/test/test_cell.c
+++ b/test/test_cell.c
@@ -386,6 +386,43 @@
 	tear_down(&fixture);
 }
 
+/* Runs that failed while they were given up as lapsed count, once each (BUDGET). */
+static void test_failed_after_lapse(void)
+{
+	struct fixture fixture;
+	struct waxwing_hold_answer silence = { .end = WAXWING_HOLD_NO_ANSWER };
+	struct waxwing_ended_row ended[3] = { 0 };
+	uint64_t life;
+
+	set_up(&fixture, false);
+	life = ready_executor(&fixture, "a", 8000);
+	offer(&fixture, 1, 1, 6000, 3000, false);
+	run(&fixture, 10);
+	started(&fixture, 0);
+	ready_executor(&fixture, "b", 8000);
+	for (int ms = 0; ms < 1400; ms += 50) {
+		waxwing_cell_hold_answered(fixture.cell, fixture.now_ms, life, &silence);
+		run(&fixture, 50);
+	}
+	started(&fixture, 1);
+	for (uint32_t i = 0; i < G_N_ELEMENTS(ended); i++) {
+		ended[i].number = i + 1;
+		ended[i].name = start_at(&fixture, 0)->name;
+		ended[i].end = WAXWING_RUN_FAILED;
+	}
+	answer_hold(&fixture, life, NULL, 0, ended, 3);
+	g_assert_cmpuint(fixture.recorder.verdicts->len, ==, 0);
+	/* two more of former owners' runs, and the task has failed as often as is allowed */
+	for (uint32_t i = 0; i < 2; i++) {
+		ended[i].number = i + 4;
+		ended[i].name.run = i + 7;
+	}
+	answer_hold(&fixture, life, NULL, 0, ended, 2);
+	g_assert_cmpuint(verdict_at(&fixture, 0)->outcome, ==, WAXWING_JOB_FAILED);
+	g_assert_cmpuint(fixture.recorder.stops->len, ==, 1);
+	tear_down(&fixture);
+}
+
 /* A start without an answer is stopped; its task waits until the run cannot come any more. */
 static void test_start_unanswered(void)
 {
@@ -506,6 +543,7 @@
 	g_test_add_func("/cell/adopts", test_adopts);
 	g_test_add_func("/cell/silent_executor", test_silent_executor);
 	g_test_add_func("/cell/done_after_lapse", test_done_after_lapse);
+	g_test_add_func("/cell/failed_after_lapse", test_failed_after_lapse);
 	g_test_add_func("/cell/start_unanswered", test_start_unanswered);
 	g_test_add_func("/cell/new_life", test_new_life);
 	g_test_add_func("/cell/refuses_hopeless", test_refuses_hopeless);
