Let who asks for a job's state as it ends hear the end

Cause: callers ask for a kept job's state as its last task ends. The owner hears of that end some milliseconds later (the executor's answer is on its way, the next hold waits 8 ms), and shows it once it is stored (4 to 20 ms more).

Change: a question about a job of which nothing is left to start waits up to 15 ms for an end, and up to 100 ms for an end that is being stored; then it is told what is known for sure.

--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -171,8 +171,8 @@
 		g_free(job->steps[i].tasks);
 	}
 	g_free(job->steps);
-	if (job->cancellers)
-		g_array_free(job->cancellers, TRUE);
+	if (job->askers)
+		g_array_free(job->askers, TRUE);
 	waxwing__job_offer__free_unpacked(job->offer, NULL);
 	g_free(job);
 }
--- a/src/cell/cell_keep.c
+++ b/src/cell/cell_keep.c
@@ -6,6 +6,11 @@
 
 #include "message.h"
 
+/* Whoever asks waits so long for an end that is being stored; issuers ask again after 120 ms. */
+#define END_STORED_MS 100
+/* An end that an executor had listed by the time of asking is heard within this: a hold each 8 ms, and the way. */
+#define END_HEARD_MS 15
+
 static uint64_t record(struct waxwing_cell *cell, const Waxwing__JournalRecord *made)
 {
 	cell->recorded = cell->options.ops->record(cell->options.data, made);
@@ -129,9 +134,11 @@
 {
 	job->final_stored = true;
 	finish(cell, job->id, job->final_state, now_ms);
-	for (guint i = 0; job->cancellers && i < job->cancellers->len; i++)
-		tell_state(cell, g_array_index(job->cancellers, uint64_t, i), job->id, true,
-			   job->final_state);
+	for (guint i = 0; job->askers && i < job->askers->len; i++) {
+		const struct asker *asker = &g_array_index(job->askers, struct asker, i);
+
+		tell_state(cell, asker->asker, job->id, asker->cancel, job->final_state);
+	}
 	job_leave(cell, job);
 }
 
@@ -166,13 +173,34 @@
 	return job->started ? WAXWING_STATE_RUNNING : WAXWING_STATE_QUEUED;
 }
 
-static void cancel(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms, uint64_t asker)
+static void await_end(struct cell_job *job, int64_t now_ms, uint64_t asker, bool cancel)
 {
-	if (!job->cancellers)
-		job->cancellers = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	g_array_append_val(job->cancellers, asker);
-	if (!job->final_state)
-		keep_end(cell, job, now_ms, WAXWING_STATE_CANCELLED);
+	struct asker row = { asker, now_ms, cancel };
+
+	if (!job->askers)
+		job->askers = g_array_new(FALSE, FALSE, sizeof(struct asker));
+	g_array_append_val(job->askers, row);
+}
+
+/* True when nothing is left to start: the job's end may have happened already. */
+static bool end_may_be_near(const struct cell_job *job)
+{
+	return job->final_state || (job->undone && job->undone == job->out);
+}
+
+/* No end was heard, or the store is slow: those that only ask are told what is known for sure. */
+static void tell_late_askers(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms)
+{
+	int64_t wait_ms = job->final_state ? END_STORED_MS : END_HEARD_MS;
+
+	for (guint i = job->askers->len; i-- > 0;) {
+		struct asker asker = g_array_index(job->askers, struct asker, i);
+
+		if (asker.cancel || now_ms - asker.asked_ms < wait_ms)
+			continue;
+		g_array_remove_index_fast(job->askers, i);
+		tell_state(cell, asker.asker, job->id, false, state_of(job));
+	}
 }
 
 void waxwing_cell_ask(struct waxwing_cell *cell, int64_t now_ms, uint64_t asker,
@@ -183,14 +211,17 @@
 
 	if (cell->options.recovering || (job && job->kept && !job->stored))
 		return;
-	if (finished)
-		tell_state(cell, asker, ask->job, ask->cancel, finished->state);
-	else if (!job || !job->kept)
-		tell_state(cell, asker, ask->job, ask->cancel, WAXWING_STATE_NONE);
-	else if (ask->cancel)
-		cancel(cell, job, now_ms, asker);
+	if (finished || !job || !job->kept) {
+		tell_state(cell, asker, ask->job, ask->cancel,
+			   finished ? finished->state : WAXWING_STATE_NONE);
+		return;
+	}
+	if (ask->cancel || end_may_be_near(job))
+		await_end(job, now_ms, asker, ask->cancel);
 	else
 		tell_state(cell, asker, ask->job, false, state_of(job));
+	if (ask->cancel && !job->final_state)
+		keep_end(cell, job, now_ms, WAXWING_STATE_CANCELLED);
 }
 
 /* --- recovery --------------------------------------------------------------------------------- */
@@ -365,5 +396,12 @@
 
 void keep_sweep(struct waxwing_cell *cell, int64_t now_ms)
 {
+	GHashTableIter iter;
+	gpointer value;
+
 	g_hash_table_foreach_remove(cell->finished, finished_is_old, &now_ms);
+	g_hash_table_iter_init(&iter, cell->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (((struct cell_job *)value)->askers)
+			tell_late_askers(cell, value, now_ms);
 }
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -72,10 +72,17 @@
 	uint64_t record_number; /* of its acceptance */
 	uint64_t final_number; /* of its end */
 	enum waxwing_job_state final_state; /* NONE: it has not ended */
-	GArray *cancellers; /* uint64_t: askers that wait for the cancel to be stored */
+	GArray *askers; /* struct asker that waits for the end to be stored; null: none */
 	GSequenceIter *place; /* among the jobs that have ready tasks; null: none */
 };
 
+/* Waits for a job's end to be stored. */
+struct asker {
+	uint64_t asker;
+	int64_t asked_ms;
+	bool cancel;
+};
+
 /* A queue's learnt run times, as a share of the estimate. */
 struct queue {
 	char *name;
--- a/test/test_cell.c
+++ b/test/test_cell.c
@@ -15,6 +15,8 @@
 	bool extends; /* the last hold did */
 	uint64_t acked_upto;
 	uint32_t fenced;
+	uint64_t recorded;
+	GArray *tolds; /* enum waxwing_job_state */
 };
 
 struct start {
@@ -70,6 +72,18 @@
 	g_array_append_val(((struct recorder *)data)->verdicts, row);
 }
 
+static uint64_t count_record(void *data, const Waxwing__JournalRecord *record)
+{
+	(void)record;
+	return ++((struct recorder *)data)->recorded;
+}
+
+static void record_told(void *data, uint64_t asker, const Waxwing__JobTold *told)
+{
+	(void)asker;
+	g_array_append_val(((struct recorder *)data)->tolds, told->state);
+}
+
 static void record_fenced(void *data, const char *executor)
 {
 	(void)executor;
@@ -81,6 +95,8 @@
 	.stop = record_stop,
 	.hold = record_hold,
 	.verdict = record_verdict,
+	.record = count_record,
+	.told = record_told,
 	.fenced = record_fenced,
 };
 
@@ -102,12 +118,14 @@
 		.stop_ms = STOP_MS,
 		.far_factor = 1,
 		.took_over = took_over,
+		.status_ms = 120000,
 	};
 
 	*fixture = (struct fixture){ .now_ms = 1000 };
 	fixture->recorder.starts = g_array_new(FALSE, FALSE, sizeof(struct start));
 	fixture->recorder.stops = g_array_new(FALSE, FALSE, sizeof(struct waxwing_run_name));
 	fixture->recorder.verdicts = g_array_new(FALSE, FALSE, sizeof(struct verdict));
+	fixture->recorder.tolds = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	fixture->cell = waxwing_cell_create(fixture->now_ms, &options);
 }
 
@@ -117,6 +135,7 @@
 	g_array_free(fixture->recorder.starts, TRUE);
 	g_array_free(fixture->recorder.stops, TRUE);
 	g_array_free(fixture->recorder.verdicts, TRUE);
+	g_array_free(fixture->recorder.tolds, TRUE);
 }
 
 static void run(struct fixture *fixture, int64_t ms)
@@ -175,8 +194,8 @@
 	return life;
 }
 
-static void offer(struct fixture *fixture, uint64_t id, uint32_t count, uint32_t cpu_milli,
-		  uint32_t estimated_ms, bool running_before)
+static void offer_job(struct fixture *fixture, uint64_t id, uint32_t count, uint32_t cpu_milli,
+		      uint32_t estimated_ms, bool running_before, bool kept)
 {
 	Waxwing__Job job = WAXWING__JOB__INIT;
 	Waxwing__JobStep step = WAXWING__JOB_STEP__INIT;
@@ -195,6 +214,8 @@
 	job.stretch_milli = 1600;
 	job.allowance_ms = 60;
 	job.patience_ms = 5000;
+	job.has_kept = kept;
+	job.kept = kept;
 	step.count = count;
 	step.has_cpu_milli = true;
 	step.cpu_milli = cpu_milli;
@@ -208,6 +229,12 @@
 			   waxwing__job_offer__unpack(NULL, len, packed));
 }
 
+static void offer(struct fixture *fixture, uint64_t id, uint32_t count, uint32_t cpu_milli,
+		  uint32_t estimated_ms, bool running_before)
+{
+	offer_job(fixture, id, count, cpu_milli, estimated_ms, running_before, false);
+}
+
 static struct start *start_at(struct fixture *fixture, guint index)
 {
 	g_assert_cmpuint(index, <, fixture->recorder.starts->len);
@@ -423,6 +450,72 @@
 	tear_down(&fixture);
 }
 
+static void ask(struct fixture *fixture, uint64_t job)
+{
+	Waxwing__JobAsk ask = WAXWING__JOB_ASK__INIT;
+
+	ask.job = job;
+	waxwing_cell_ask(fixture->cell, fixture->now_ms, WAXWING_ISSUER_SELF, &ask);
+}
+
+static uint32_t last_told(struct fixture *fixture)
+{
+	return g_array_index(fixture->recorder.tolds, uint32_t, fixture->recorder.tolds->len - 1);
+}
+
+/* A job that must be kept, whose only task has ended as done; that is not stored yet. */
+static void end_kept_job(struct fixture *fixture)
+{
+	struct waxwing_ended_row ended = { .number = 1, .end = WAXWING_RUN_DONE };
+	uint64_t life = ready_executor(fixture, "a", 8000);
+
+	offer_job(fixture, 1, 1, 6000, 100, false, true);
+	waxwing_cell_stored(fixture->cell, fixture->now_ms, fixture->recorder.recorded);
+	run(fixture, 10);
+	started(fixture, 0);
+	ask(fixture, 1);
+	run(fixture, 30);
+	g_assert_cmpuint(last_told(fixture), ==, WAXWING_STATE_RUNNING);
+	ended.name = start_at(fixture, 0)->name;
+	ask(fixture, 1); /* a little before the owner hears of the end */
+	run(fixture, 5);
+	answer_hold(fixture, life, NULL, 0, &ended, 1);
+}
+
+/*
+ * Who asks as a job ends, or while a job's end is being stored hears the end once it is, not that the job runs: callers ask
+ * as the last task ends, and not again for a while (kz-broom-orders quiet-1 with all jobs kept).
+ */
+static void test_ask_as_it_ends(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture, false);
+	end_kept_job(&fixture);
+	ask(&fixture, 1);
+	run(&fixture, 20);
+	g_assert_cmpuint(fixture.recorder.tolds->len, ==, 1);
+	waxwing_cell_stored(fixture.cell, fixture.now_ms, fixture.recorder.recorded);
+	g_assert_cmpuint(fixture.recorder.tolds->len, ==, 3);
+	g_assert_cmpuint(last_told(&fixture), ==, WAXWING_STATE_COMPLETED);
+	tear_down(&fixture);
+}
+
+/* The store takes nothing for a while: who asks is told so much as is known for sure, in time. */
+static void test_ask_unstored(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture, false);
+	end_kept_job(&fixture);
+	run(&fixture, 150);
+	g_assert_cmpuint(fixture.recorder.tolds->len, ==, 2);
+	g_assert_cmpuint(last_told(&fixture), ==, WAXWING_STATE_RUNNING);
+	waxwing_cell_stored(fixture.cell, fixture.now_ms, fixture.recorder.recorded);
+	g_assert_cmpuint(fixture.recorder.tolds->len, ==, 2);
+	tear_down(&fixture);
+}
+
 /* A start without an answer is stopped; its task waits until the run cannot come any more. */
 static void test_start_unanswered(void)
 {
@@ -544,6 +637,8 @@
 	g_test_add_func("/cell/silent_executor", test_silent_executor);
 	g_test_add_func("/cell/done_after_lapse", test_done_after_lapse);
 	g_test_add_func("/cell/failed_after_lapse", test_failed_after_lapse);
+	g_test_add_func("/cell/ask_as_it_ends", test_ask_as_it_ends);
+	g_test_add_func("/cell/ask_unstored", test_ask_unstored);
 	g_test_add_func("/cell/start_unanswered", test_start_unanswered);
 	g_test_add_func("/cell/new_life", test_new_life);
 	g_test_add_func("/cell/refuses_hopeless", test_refuses_hopeless);
