--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -86,12 +86,14 @@
 
 struct waxwing_running_row {
 	struct waxwing_run_name name;
+	const char *checkpoint; /**< null: none */
 };
 
 struct waxwing_ended_row {
 	uint64_t number; /**< from 1 in each life of the executor */
 	struct waxwing_run_name name;
 	enum waxwing_run_end end;
+	const char *checkpoint; /**< null: none */
 };
 
 /** How an executor answered a hold. */
@@ -127,9 +129,17 @@
  */
 int64_t waxwing_cell_orders_last_ms(uint32_t lease_most_ms);
 
+/** What a run is started with; valid during the call. */
+struct waxwing_run_order {
+	struct waxwing_run_name name;
+	const char *spec;
+	const char *checkpoint; /**< where an earlier run left off; null: from the start */
+	int64_t until_ms; /**< of the lease, on the executor's clock */
+};
+
 struct waxwing_cell_ops {
 	void (*start)(void *data, const struct waxwing_order_target *target,
-		      const struct waxwing_run_name *name, const char *spec, int64_t until_ms);
+		      const struct waxwing_run_order *order);
 	void (*stop)(void *data, const struct waxwing_order_target *target,
 		     const struct waxwing_run_name *name);
 	/** @until_ms 0: leases are not extended. */
--- a/src/cell/cell_hold.c
+++ b/src/cell/cell_hold.c
@@ -93,6 +93,9 @@
 	if (row->number <= executor->ended_upto)
 		return;
 	executor->ended_upto = row->number;
+	if (job)
+		task_take_checkpoint(&job->steps[row->name.step].tasks[row->name.index],
+				     row->checkpoint);
 	if (run)
 		run_ended(cell, run, row->end, now_ms);
 	else if (job && row->end == WAXWING_RUN_DONE)
@@ -122,6 +125,8 @@
 		if (job)
 			run_adopt(cell, run, job);
 	}
+	if (run->job)
+		task_take_checkpoint(run_task(run), row->checkpoint);
 	if (run->state == RUN_STARTING) {
 		run->state = RUN_RUNNING;
 		run->started_ms = now_ms;
--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -160,6 +160,7 @@
 	if (task->failed_runs)
 		g_array_free(task->failed_runs, TRUE);
 	g_free(task->failed_at);
+	g_free(task->checkpoint);
 }
 
 void job_free(struct waxwing_cell *cell, struct cell_job *job)
@@ -307,6 +308,14 @@
 	       breaker->failed > breaker->total * SUSPECT_SHARE;
 }
 
+void task_take_checkpoint(struct task *task, const char *checkpoint)
+{
+	if (!checkpoint || g_strcmp0(task->checkpoint, checkpoint) == 0)
+		return;
+	g_free(task->checkpoint);
+	task->checkpoint = g_strdup(checkpoint);
+}
+
 uint32_t task_failures(const struct task *task)
 {
 	return task->failed_runs ? task->failed_runs->len : 0;
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -154,14 +154,19 @@
 {
 	struct task *task = &job->steps[step].tasks[index];
 	struct waxwing_capacity needs = step_needs(job->steps[step].spec);
-	struct waxwing_run_name name = { job->id, 0, step, index, task->last_run + 1 };
+	struct waxwing_run_order order = {
+		.name = { job->id, 0, step, index, task->last_run + 1 },
+		.spec = job->spec->spec,
+		.checkpoint = task->checkpoint,
+		.until_ms = executor_until(cell, executor, now_ms),
+	};
 	struct waxwing_order_target target;
-	struct cell_run *run = run_create(cell, executor, &name, &needs);
+	struct cell_run *run = run_create(cell, executor, &order.name, &needs);
 
 	run->job = job;
 	run->state = RUN_STARTING;
 	run->started_ms = now_ms;
-	task->last_run = name.run;
+	task->last_run = order.name.run;
 	task->run = run;
 	job_task_taken(cell, job, step, index);
 	waxwing_breaker_start(&executor->breaker);
@@ -170,12 +175,11 @@
 	waxwing_event("run_started",
 		      "job=%016llx step=%u index=%u run=%u executor=%s speed_pct=%d due_in_ms=%lld "
 		      "ready_jobs=%d",
-		      (unsigned long long)job->id, step, index, name.run, executor->id,
+		      (unsigned long long)job->id, step, index, order.name.run, executor->id,
 		      (int)(executor->speed.value * 100), (long long)(job->due_ms - now_ms),
 		      g_sequence_get_length(cell->ready));
 	executor_target(cell, executor, &target);
-	cell->options.ops->start(cell->options.data, &target, &name, job->spec->spec,
-				 executor_until(cell, executor, now_ms));
+	cell->options.ops->start(cell->options.data, &target, &order);
 }
 
 /* Starts what it can of a step. */
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -38,6 +38,7 @@
 	uint32_t last_run; /* highest number used or seen */
 	GArray *failed_runs; /* uint32_t: runs that ended as failed; null: none */
 	enum task_state state;
+	char *checkpoint; /* what a run of it saved last; null: nothing */
 	char *failed_at; /* id of the executor of the last failure; null: none */
 };
 
@@ -254,6 +255,8 @@
 		      Waxwing__JobOffer *offer, enum waxwing_job_outcome outcome,
 		      enum waxwing_error_code reason, uint32_t retry_after_ms);
 
+void task_take_checkpoint(struct task *task, const char *checkpoint);
+
 /* cell_keep.c: jobs that must be kept */
 bool keep_offer(struct waxwing_cell *cell, int64_t now_ms, uint64_t issuer,
 		Waxwing__JobOffer *offer); /* false: it is a new job */
--- a/src/node/executors.h
+++ b/src/node/executors.h
@@ -12,9 +12,7 @@
 
 struct waxwing_executor_start {
 	const struct waxwing_order_target *target;
-	const struct waxwing_run_name *name;
-	const char *spec;
-	int64_t until_ms; /**< of the lease, on the executor's clock */
+	const struct waxwing_run_order *order;
 	uint32_t timeout_ms;
 	void (*done)(void *data, enum waxwing_start_answer answer, int64_t clock_ms);
 	void *data;
--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -79,18 +79,16 @@
 }
 
 static void order_start(void *data, const struct waxwing_order_target *target,
-			const struct waxwing_run_name *name, const char *spec, int64_t until_ms)
+			const struct waxwing_run_order *order)
 {
 	struct node_cell *at = data;
 	struct waxwing_executors *executors = at->node->options.executors;
 	struct waxwing_executor_start start = {
 		.target = target,
-		.name = name,
-		.spec = spec,
-		.until_ms = until_ms,
+		.order = order,
 		.timeout_ms = START_TIMEOUT_MS,
 		.done = start_done,
-		.data = create_order(at, target->life, name),
+		.data = create_order(at, target->life, &order->name),
 	};
 
 	executors->ops->start(executors, &start);
--- a/test/node_world_executors.h
+++ b/test/node_world_executors.h
@@ -137,7 +137,9 @@
 			 enum waxwing_run_end end)
 {
 	struct executor_run run = g_array_index(executor->runs, struct executor_run, index);
-	struct waxwing_ended_row row = { ++executor->last_end, run.name, end };
+	struct waxwing_ended_row row = { .number = ++executor->last_end,
+					 .name = run.name,
+					 .end = end };
 	struct client_job *job = g_hash_table_lookup(world->jobs, &run.name.job);
 
 	g_array_remove_index_fast(executor->runs, index);
@@ -222,7 +224,7 @@
 static void take_stop(struct world *world, struct world_executor *executor,
 		      const struct executor_call *call)
 {
-	struct waxwing_ended_row row = { 0, call->name, WAXWING_RUN_STOPPED };
+	struct waxwing_ended_row row = { .name = call->name, .end = WAXWING_RUN_STOPPED };
 
 	if (call->token < executor->token)
 		return;
@@ -245,7 +247,7 @@
 	call->ended = g_array_new(FALSE, FALSE, sizeof(struct waxwing_ended_row));
 	for (guint i = 0; i < executor->runs->len; i++) {
 		struct waxwing_running_row row = {
-			g_array_index(executor->runs, struct executor_run, i).name
+			.name = g_array_index(executor->runs, struct executor_run, i).name
 		};
 
 		g_array_append_val(call->running, row);
@@ -389,8 +391,8 @@
 	struct executor_call *call =
 		executor_call(executors, EXECUTOR_START, start->target, start->timeout_ms);
 
-	call->name = *start->name;
-	call->until_ms = start->until_ms;
+	call->name = start->order->name;
+	call->until_ms = start->order->until_ms;
 	call->start_done = start->done;
 	call->data = start->data;
 	executor_send(call);
--- a/test/test_cell.c
+++ b/test/test_cell.c
@@ -23,6 +23,7 @@
 	struct waxwing_run_name name;
 	uint64_t life;
 	char executor[16];
+	char checkpoint[16];
 };
 
 struct verdict {
@@ -33,13 +34,13 @@
 };
 
 static void record_start(void *data, const struct waxwing_order_target *target,
-			 const struct waxwing_run_name *name, const char *spec, int64_t until_ms)
+			 const struct waxwing_run_order *order)
 {
 	struct recorder *recorder = data;
-	struct start start = { *name, target->life, "" };
+	struct start start = { order->name, target->life, "", "" };
 
-	(void)spec;
-	(void)until_ms;
+	if (order->checkpoint)
+		g_strlcpy(start.checkpoint, order->checkpoint, sizeof(start.checkpoint));
 	g_strlcpy(start.executor, target->id, sizeof(start.executor));
 	g_array_append_val(recorder->starts, start);
 }
@@ -284,8 +285,10 @@
 static void test_offered_while_stopped(void)
 {
 	struct fixture fixture;
-	struct waxwing_running_row running = { { 9, 0, 0, 0, 3 } };
-	struct waxwing_ended_row ended = { 1, running.name, WAXWING_RUN_STOPPED };
+	struct waxwing_running_row running = { .name = { 9, 0, 0, 0, 3 } };
+	struct waxwing_ended_row ended = { .number = 1,
+					   .name = running.name,
+					   .end = WAXWING_RUN_STOPPED };
 	uint64_t life;
 
 	set_up(&fixture, true);
@@ -337,8 +340,10 @@
 static void test_adopts(void)
 {
 	struct fixture fixture;
-	struct waxwing_running_row running = { { 9, 0, 0, 0, 1 } };
-	struct waxwing_ended_row ended = { 1, running.name, WAXWING_RUN_DONE };
+	struct waxwing_running_row running = { .name = { 9, 0, 0, 0, 1 } };
+	struct waxwing_ended_row ended = { .number = 1,
+					   .name = running.name,
+					   .end = WAXWING_RUN_DONE };
 
 	set_up(&fixture, true);
 	add_executor(&fixture, "a", 16000, 0);
@@ -516,6 +521,36 @@
 	tear_down(&fixture);
 }
 
+/* What a run saved last is given to the task's next run. */
+static void test_checkpoint(void)
+{
+	struct fixture fixture;
+	struct waxwing_running_row running = { .checkpoint = "first" };
+	struct waxwing_ended_row ended = { .number = 1, .end = WAXWING_RUN_STOPPED };
+	uint64_t life;
+
+	set_up(&fixture, false);
+	life = ready_executor(&fixture, "a", 8000);
+	offer(&fixture, 1, 1, 6000, 3000, false);
+	run(&fixture, 10);
+	started(&fixture, 0);
+	g_assert_cmpstr(start_at(&fixture, 0)->checkpoint, ==, "");
+	running.name = start_at(&fixture, 0)->name;
+	answer_hold(&fixture, life, &running, 1, NULL, 0);
+	run(&fixture, 10);
+	/* it vanishes: what was seen of it last is all that there is */
+	answer_hold(&fixture, life, NULL, 0, NULL, 0);
+	run(&fixture, 20);
+	g_assert_cmpstr(start_at(&fixture, 1)->checkpoint, ==, "first");
+	started(&fixture, 1);
+	ended.name = start_at(&fixture, 1)->name;
+	ended.checkpoint = "second";
+	answer_hold(&fixture, life, NULL, 0, &ended, 1);
+	run(&fixture, 20);
+	g_assert_cmpstr(start_at(&fixture, 2)->checkpoint, ==, "second");
+	tear_down(&fixture);
+}
+
 /* A start without an answer is stopped; its task waits until the run cannot come any more. */
 static void test_start_unanswered(void)
 {
@@ -552,7 +587,7 @@
 static void test_new_life(void)
 {
 	struct fixture fixture;
-	struct waxwing_running_row running = { { 2, 0, 0, 0, 1 } };
+	struct waxwing_running_row running = { .name = { 2, 0, 0, 0, 1 } };
 
 	set_up(&fixture, false);
 	fixture.born_ms = 100;
@@ -639,6 +674,7 @@
 	g_test_add_func("/cell/failed_after_lapse", test_failed_after_lapse);
 	g_test_add_func("/cell/ask_as_it_ends", test_ask_as_it_ends);
 	g_test_add_func("/cell/ask_unstored", test_ask_unstored);
+	g_test_add_func("/cell/checkpoint", test_checkpoint);
 	g_test_add_func("/cell/start_unanswered", test_start_unanswered);
 	g_test_add_func("/cell/new_life", test_new_life);
 	g_test_add_func("/cell/refuses_hopeless", test_refuses_hopeless);
