--- a/src/cell/cell_hold.c
+++ b/src/cell/cell_hold.c
@@ -194,6 +194,7 @@
 	note_ends(cell, executor);
 	executor->hold_next_ms = now_ms + (executor->ack_waits->len ? STORING_MS : 0);
 	executor->answered_ms = now_ms;
+	executor->listed = !cell->options.recovering;
 	if (cell->options.recovering && answer->ended_count)
 		executor->hold_wanted = true;
 }
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -211,7 +211,7 @@
 	for (guint i = 0; i < cell->list->len; i++) {
 		const struct executor *executor = cell->list->pdata[i];
 
-		if (!executor->answered)
+		if (!executor->listed)
 			return false;
 	}
 	return true;
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -117,6 +117,7 @@
 	bool hold_out;
 	bool hold_wanted; /* at once, though nothing runs */
 	bool answered; /* has answered under this token */
+	bool listed; /* its lists were taken since the journal was read */
 	bool silent; /* the last call had no answer */
 	int64_t hold_sent_ms;
 	int64_t hold_next_ms; /* not sooner: after silence */
--- a/test/test_cell.c
+++ b/test/test_cell.c
@@ -108,7 +108,7 @@
 	int64_t born_ms; /* told by holds */
 };
 
-static void set_up(struct fixture *fixture, bool took_over)
+static void set_up_recovering(struct fixture *fixture, bool took_over, bool recovering)
 {
 	struct waxwing_cell_options options = {
 		.ops = &recording_ops,
@@ -119,6 +119,7 @@
 		.stop_ms = STOP_MS,
 		.far_factor = 1,
 		.took_over = took_over,
+		.recovering = recovering,
 		.status_ms = 120000,
 	};
 
@@ -130,6 +131,11 @@
 	fixture->cell = waxwing_cell_create(fixture->now_ms, &options);
 }
 
+static void set_up(struct fixture *fixture, bool took_over)
+{
+	set_up_recovering(fixture, took_over, false);
+}
+
 static void tear_down(struct fixture *fixture)
 {
 	waxwing_cell_destroy(fixture->cell);
@@ -195,8 +201,8 @@
 	return life;
 }
 
-static void offer_job(struct fixture *fixture, uint64_t id, uint32_t count, uint32_t cpu_milli,
-		      uint32_t estimated_ms, bool running_before, bool kept)
+static Waxwing__JobOffer *make_offer(uint64_t id, uint32_t count, uint32_t cpu_milli,
+				     uint32_t estimated_ms, bool running_before, bool kept)
 {
 	Waxwing__Job job = WAXWING__JOB__INIT;
 	Waxwing__JobStep step = WAXWING__JOB_STEP__INIT;
@@ -226,8 +232,14 @@
 	made.has_running_before = true;
 	made.running_before = running_before;
 	len = waxwing__job_offer__pack(&made, packed);
+	return waxwing__job_offer__unpack(NULL, len, packed);
+}
+
+static void offer_job(struct fixture *fixture, uint64_t id, uint32_t count, uint32_t cpu_milli,
+		      uint32_t estimated_ms, bool running_before, bool kept)
+{
 	waxwing_cell_offer(fixture->cell, fixture->now_ms, WAXWING_ISSUER_SELF,
-			   waxwing__job_offer__unpack(NULL, len, packed));
+			   make_offer(id, count, cpu_milli, estimated_ms, running_before, kept));
 }
 
 static void offer(struct fixture *fixture, uint64_t id, uint32_t count, uint32_t cpu_milli,
@@ -551,6 +563,40 @@
 	tear_down(&fixture);
 }
 
+/*
+ * An executor's list that came while the journal was read told of an end of a job that was not known then;
+ * nothing starts before it is listed again (all jobs kept, trouble-2, seed 619809077945: TWICE 27).
+ */
+static void test_ends_before_recovery(void)
+{
+	struct fixture fixture;
+	struct waxwing_ended_row ended = { .number = 1,
+					   .name = { 9, 0, 0, 0, 1 },
+					   .end = WAXWING_RUN_DONE };
+	Waxwing__JobOffer *offered = make_offer(9, 1, 6000, 100, false, true);
+	Waxwing__JournalRecord accepted = WAXWING__JOURNAL_RECORD__INIT;
+	uint64_t life;
+
+	set_up_recovering(&fixture, true, true);
+	add_executor(&fixture, "a", 16000, 0);
+	waxwing_cell_run(fixture.cell, fixture.now_ms);
+	life = fixture.recorder.life;
+	answer_hold(&fixture, life, NULL, 0, &ended, 1);
+	accepted.job = offered->job;
+	waxwing_cell_replay(fixture.cell, fixture.now_ms, &accepted);
+	waxwing_cell_recovered(fixture.cell, fixture.now_ms);
+	run(&fixture, 20);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 0);
+	answer_hold(&fixture, life, NULL, 0, &ended, 1);
+	run(&fixture, 20);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 0);
+	waxwing_cell_stored(fixture.cell, fixture.now_ms, fixture.recorder.recorded);
+	ask(&fixture, 9);
+	g_assert_cmpuint(last_told(&fixture), ==, WAXWING_STATE_COMPLETED);
+	waxwing__job_offer__free_unpacked(offered, NULL);
+	tear_down(&fixture);
+}
+
 /* A start without an answer is stopped; its task waits until the run cannot come any more. */
 static void test_start_unanswered(void)
 {
@@ -675,6 +721,7 @@
 	g_test_add_func("/cell/ask_as_it_ends", test_ask_as_it_ends);
 	g_test_add_func("/cell/ask_unstored", test_ask_unstored);
 	g_test_add_func("/cell/checkpoint", test_checkpoint);
+	g_test_add_func("/cell/ends_before_recovery", test_ends_before_recovery);
 	g_test_add_func("/cell/start_unanswered", test_start_unanswered);
 	g_test_add_func("/cell/new_life", test_new_life);
 	g_test_add_func("/cell/refuses_hopeless", test_refuses_hopeless);
