--- a/test/node_world.h
+++ b/test/node_world.h
@@ -78,6 +78,7 @@
 		snprintf(executor->id, sizeof(executor->id), "x%d", i);
 		executor->runs = g_array_new(FALSE, FALSE, sizeof(struct executor_run));
 		executor->ended = g_array_new(FALSE, FALSE, sizeof(struct waxwing_ended_row));
+		executor->ended_ms = g_array_new(FALSE, FALSE, sizeof(int64_t));
 		executor->holds = g_ptr_array_new();
 		executor->speed = i % 3 ? 0.8 : 1.6;
 		executor->born_ms = 1;
@@ -161,6 +162,7 @@
 	for (int i = 0; i < EXECUTORS; i++) {
 		g_array_free(world->executors[i].runs, TRUE);
 		g_array_free(world->executors[i].ended, TRUE);
+		g_array_free(world->executors[i].ended_ms, TRUE);
 		g_ptr_array_free(world->executors[i].holds, TRUE);
 	}
 	for (int i = 0; i < NODES; i++)
--- a/test/node_world_executors.h
+++ b/test/node_world_executors.h
@@ -133,6 +133,15 @@
 
 static void answer_holds(struct world *world, struct world_executor *executor);
 
+static void add_ended(const struct world *world, struct world_executor *executor,
+		      const struct waxwing_ended_row *row)
+{
+	int64_t now_ms = world_now(world);
+
+	g_array_append_vals(executor->ended, row, 1);
+	g_array_append_val(executor->ended_ms, now_ms);
+}
+
 static void executor_end(struct world *world, struct world_executor *executor, guint index,
 			 enum waxwing_run_end end)
 {
@@ -143,7 +152,7 @@
 	struct client_job *job = g_hash_table_lookup(world->jobs, &run.name.job);
 
 	g_array_remove_index_fast(executor->runs, index);
-	g_array_append_val(executor->ended, row);
+	add_ended(world, executor, &row);
 	if (job && end == WAXWING_RUN_DONE)
 		job->done++;
 	answer_holds(world, executor);
@@ -191,8 +200,10 @@
 		world_violation_at(world, "TWICE after its end", name, executor);
 	if (job && job->state == CLIENT_REFUSED)
 		world_violation(world, "REFUSED", name->job, name->index);
-	if (job)
+	if (job) {
 		job->started = true;
+		job->last_start_ms[name->index] = world_now(world);
+	}
 }
 
 static enum waxwing_start_answer take_start(struct world *world, struct world_executor *executor,
@@ -238,7 +249,7 @@
 		return;
 	}
 	/* a run that is not there yet is rejected later; this end is listed nowhere */
-	g_array_append_val(executor->ended, row);
+	add_ended(world, executor, &row);
 }
 
 static void fill_lists(const struct world_executor *executor, struct executor_call *call)
@@ -280,16 +291,31 @@
 	}
 }
 
+/* The task must not have been started since, nor be started again. */
+static void note_done(struct world *world, const struct world_executor *executor, guint index)
+{
+	const struct waxwing_ended_row *row =
+		&g_array_index(executor->ended, struct waxwing_ended_row, index);
+	int64_t ended_ms = g_array_index(executor->ended_ms, int64_t, index);
+	struct client_job *job = g_hash_table_lookup(world->jobs, &row->name.job);
+
+	if (!job || executor->lapsed_ms >= ended_ms)
+		return;
+	if (job->kept && job->last_start_ms[row->name.index] > ended_ms)
+		world_violation_at(world, "TWICE before its end was noted", &row->name, executor);
+	job->noted |= 1ULL << row->name.index;
+}
+
 static void note_acked(struct world *world, const struct world_executor *executor,
 		       uint64_t acked_upto)
 {
 	for (guint i = 0; i < executor->ended->len; i++) {
 		const struct waxwing_ended_row *row =
 			&g_array_index(executor->ended, struct waxwing_ended_row, i);
-		struct client_job *job = g_hash_table_lookup(world->jobs, &row->name.job);
 
-		if (job && row->number && row->number <= acked_upto && row->end == WAXWING_RUN_DONE)
-			job->noted |= 1ULL << row->name.index;
+		if (row->number > executor->forgotten_upto && row->number <= acked_upto &&
+		    row->end == WAXWING_RUN_DONE)
+			note_done(world, executor, i);
 	}
 }
 
@@ -435,6 +461,8 @@
 	for (int i = 0; i < EXECUTORS; i++) {
 		struct world_executor *executor = &world->executors[i];
 
+		if (executor_clock(world, executor) >= executor->lease_until_ms)
+			executor->lapsed_ms = world_now(world);
 		for (guint k = executor->runs->len; k-- > 0 && !executor->dark;) {
 			struct executor_run *run =
 				&g_array_index(executor->runs, struct executor_run, k);
@@ -461,6 +489,7 @@
 {
 	g_array_set_size(executor->runs, 0);
 	g_array_set_size(executor->ended, 0);
+	g_array_set_size(executor->ended_ms, 0);
 	executor->last_end = 0;
 	executor->forgotten_upto = 0;
 	executor->token = 0;
--- a/test/node_world_nodes.h
+++ b/test/node_world_nodes.h
@@ -351,7 +351,7 @@
 	job->world = world;
 	job->id = ++world->next_job;
 	job->ticket.answer = client_answered;
-	job->tasks = (uint32_t)g_rand_int_range(world->random, 1, 5);
+	job->tasks = (uint32_t)g_rand_int_range(world->random, 1, CLIENT_TASKS_MOST + 1);
 	job->work_ms = (uint32_t)g_rand_int_range(world->random, 20, (int32_t)world->work_most_ms);
 	job->kept = world_chance(world, world->kept_share);
 	g_hash_table_insert(world->jobs, &job->id, job);
--- a/test/node_world_types.h
+++ b/test/node_world_types.h
@@ -7,19 +7,20 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#define NODES		 6
-#define ZONES		 3
-#define EXECUTORS	 12
-#define EXECUTOR_CPU	 16000
-#define WAY_MS		 1
-#define STORE_WAY_MS	 2
-#define CALL_TIMEOUT_MS	 1000
-#define LEASE_MOST_MS	 1000
-#define STOP_MS		 50
-#define RESEND_MS	 1300
-#define ASK_MS		 300
-#define WORK_MOST_MS	 400
-#define STORE_WATCH_KEYS 64
+#define NODES		  6
+#define ZONES		  3
+#define EXECUTORS	  12
+#define EXECUTOR_CPU	  16000
+#define WAY_MS		  1
+#define STORE_WAY_MS	  2
+#define CALL_TIMEOUT_MS	  1000
+#define LEASE_MOST_MS	  1000
+#define STOP_MS		  50
+#define RESEND_MS	  1300
+#define ASK_MS		  300
+#define WORK_MOST_MS	  400
+#define CLIENT_TASKS_MOST 4
+#define STORE_WATCH_KEYS  64
 
 struct world;
 
@@ -87,6 +88,8 @@
 	char id[16];
 	GArray *runs; /* struct executor_run */
 	GArray *ended; /* struct waxwing_ended_row */
+	GArray *ended_ms; /* int64_t: when each of them came about */
+	int64_t lapsed_ms; /* its lease was over for the last time; what ended before counts as not noted */
 	uint64_t last_end;
 	uint64_t forgotten_upto; /* ends that were acknowledged */
 	uint64_t token;
@@ -117,6 +120,7 @@
 	bool kept;
 	bool asking;
 	uint64_t noted; /* tasks, by bit, whose end was acknowledged */
+	int64_t last_start_ms[CLIENT_TASKS_MOST]; /* by task */
 	enum client_state state;
 	int node;
 	uint64_t incarnation; /* of the node it waits at */
--- a/test/test_node_faults.c
+++ b/test/test_node_faults.c
@@ -550,6 +550,28 @@
 	}
 }
 
+/* Owners leave one after the other while tasks end all the time. */
+static void test_kept_leave(void)
+{
+	for (uint32_t seed = 1; seed <= 10; seed++) {
+		struct world *world = begin(seed);
+
+		world->kept_share = 1;
+		world->work_most_ms = 60;
+		serve(world, 500);
+		for (int zone = 0; zone < ZONES; zone++) {
+			int owner = owner_of(world, zone);
+
+			waxwing_node_leave(world->nodes[owner].node);
+			serve(world, 1500);
+			node_kill(world, owner);
+			node_start(world, owner);
+		}
+		assert_all_answered(world);
+		world_destroy(world);
+	}
+}
+
 static void test_kept_owner_frozen(void)
 {
 	freeze_owners(1);
@@ -610,6 +632,7 @@
 	g_test_add_func("/node/kept_lost_answers", test_kept_lost_answers);
 	g_test_add_func("/node/kept_snapshot", test_kept_snapshot);
 	g_test_add_func("/node/kept_former_owner_writes", test_kept_former_owner_writes);
+	g_test_add_func("/node/kept_leave", test_kept_leave);
 	g_test_add_func("/node/kept_owner_frozen", test_kept_owner_frozen);
 	g_test_add_func("/node/mix", test_mix);
 	return g_test_run();
