Serve tasks that run until their job is cancelled

Until now such jobs were refused. Their tasks are started again however they end, without a limit of failures, after a pause when they ended at once; they come before all others, as the users' rules count a task that does not run for 6 s at any load; room is kept for one that fits nowhere now (small jobs would take every bit that falls free); an executor that leaves loses them while they can save their work. A sound run is never stopped, so MayMiss needs no count.

--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -28,6 +28,8 @@
 	const struct cell_job *right = b;
 
 	(void)user;
+	if (left->lasts != right->lasts)
+		return left->lasts ? -1 : 1;
 	if (left->late != right->late)
 		return left->late ? 1 : -1;
 	if (left->due_ms != right->due_ms)
@@ -276,7 +278,7 @@
 {
 	struct task *task = &job->steps[step].tasks[index];
 
-	if (task->state == TASK_DONE || job->ended)
+	if (task->state == TASK_DONE || job->ended || job->steps[step].spec->long_running)
 		return;
 	if (task->state == TASK_READY)
 		count_ready(cell, job, step, -1);
@@ -341,7 +343,7 @@
 	struct task *task = &job->steps[name->step].tasks[name->index];
 	uint32_t most = job->spec->max_attempts;
 
-	if (task->state == TASK_DONE || job->ended)
+	if (task->state == TASK_DONE || job->ended || job->steps[name->step].spec->long_running)
 		return;
 	if (task_add_failure(task, name->run) && job->kept)
 		keep_failure(cell, name);
@@ -425,6 +427,7 @@
 		job->steps[i].spec = job->spec->steps[i];
 		job->steps[i].tasks = g_new0(struct task, job->spec->steps[i]->count);
 		job->undone += job->spec->steps[i]->count;
+		job->lasts |= job->spec->steps[i]->long_running;
 	}
 	job->tasks = job->undone;
 	job->queue->waiting_jobs++;
@@ -558,7 +561,7 @@
 
 static void set_late(struct cell_job *job, bool late)
 {
-	if (job->late == late)
+	if (job->late == late || job->lasts)
 		return;
 	job->late = late;
 	if (job->place)
@@ -583,6 +586,7 @@
 	for (guint i = 0; i < cell->list->len; i++) {
 		struct executor *executor = cell->list->pdata[i];
 
+		lasting_sweep(cell, executor, now_ms);
 		for (guint k = 0; k < executor->runs->len; k++) {
 			struct cell_run *run = executor->runs->pdata[k];
 			bool again = run->state == RUN_STOPPING && !run->stopped_by_ms &&
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -55,6 +55,8 @@
 
 	if (strcmp(executor->service, job->spec->service) != 0 || !could_fit(executor, spec))
 		return false;
+	if (executor->reserved_for && executor->reserved_for != job)
+		return false;
 	return !spec->anti_affinity || runs_of_step(executor, job, step) < spec->anti_affinity;
 }
 
@@ -111,6 +113,8 @@
 
 		if (!run->job || run->job->ended)
 			return 0;
+		if (run_lasts(run))
+			continue;
 		total = step_work_ms(run->job, run->job->steps[run->name.step].spec) /
 			executor->speed.value;
 		first = MIN(first, MAX(total - (double)(now_ms - run->started_ms), total / 8));
@@ -129,7 +133,7 @@
 	double work = step_work_ms(job, spec);
 	double left = (double)(job->due_ms - now_ms);
 
-	if (job->late || work / speed <= left)
+	if (job->late || spec->long_running || work / speed <= left)
 		return false;
 	for (guint i = 0; i < cell->list->len; i++) {
 		struct executor *executor = cell->list->pdata[i];
@@ -182,6 +186,48 @@
 	cell->options.ops->start(cell->options.data, &target, &order);
 }
 
+bool step_has_room(struct waxwing_cell *cell, const struct cell_job *job, uint32_t step,
+		   int64_t now_ms)
+{
+	static const struct task any = { .state = TASK_READY };
+	double speed;
+
+	return pick(cell, job, step, &any, now_ms, &speed) != NULL;
+}
+
+/*
+ * Keeps other jobs off the executor that has most room for the step, so that the room grows as what runs
+ * there ends. Reservations are made anew in each round, in the order of service.
+ */
+static void reserve(struct waxwing_cell *cell, const struct cell_job *job, uint32_t step,
+		    int64_t now_ms)
+{
+	struct executor *best = NULL;
+	uint32_t best_free = 0;
+
+	for (guint i = 0; i < cell->list->len; i++) {
+		struct executor *executor = cell->list->pdata[i];
+		uint32_t lasting = 0;
+		uint32_t free;
+
+		if (!executor_usable(executor, now_ms) || executor->reserved_for ||
+		    !is_allowed(executor, job, step))
+			continue;
+		for (guint k = 0; k < executor->runs->len; k++) {
+			const struct cell_run *run = executor->runs->pdata[k];
+
+			lasting += run_lasts(run) ? run->needs.cpu_milli : 0;
+		}
+		free = executor->capacity.cpu_milli - MIN(lasting, executor->capacity.cpu_milli);
+		if (free < job->steps[step].spec->cpu_milli || free <= best_free)
+			continue;
+		best = executor;
+		best_free = free;
+	}
+	if (best)
+		best->reserved_for = job;
+}
+
 /* Starts what it can of a step. */
 static void place_step(struct waxwing_cell *cell, struct cell_job *job, uint32_t step,
 		       int64_t now_ms, GHashTable *awaited)
@@ -192,9 +238,11 @@
 		struct executor *executor;
 		double speed;
 
-		if (at->tasks[index].state != TASK_READY)
+		if (at->tasks[index].state != TASK_READY || now_ms < at->tasks[index].not_before_ms)
 			continue;
 		executor = pick(cell, job, step, &at->tasks[index], now_ms, &speed);
+		if (!executor && at->spec->long_running)
+			reserve(cell, job, step, now_ms);
 		if (!executor)
 			return;
 		if (should_wait(cell, job, step, now_ms, speed, awaited))
@@ -225,6 +273,8 @@
 
 	if (g_sequence_iter_is_end(iter))
 		return;
+	for (guint i = 0; i < cell->list->len; i++)
+		((struct executor *)cell->list->pdata[i])->reserved_for = NULL;
 	awaited = g_hash_table_new(NULL, NULL);
 	sure = all_answered(cell);
 	while (!g_sequence_iter_is_end(iter)) {
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -38,6 +38,7 @@
 	uint32_t last_run; /* highest number used or seen */
 	GArray *failed_runs; /* uint32_t: runs that ended as failed; null: none */
 	enum task_state state;
+	int64_t not_before_ms; /* of its next start */
 	char *checkpoint; /* what a run of it saved last; null: nothing */
 	char *failed_at; /* id of the executor of the last failure; null: none */
 };
@@ -65,6 +66,7 @@
 	uint32_t tasks; /* of all steps */
 	bool started;
 	bool late; /* past its due time: others come first */
+	bool lasts; /* has a step whose tasks run until it is cancelled: it comes first */
 	bool ended; /* its verdict is out; runs are being stopped */
 	/* of one that must be kept */
 	bool kept;
@@ -133,6 +135,7 @@
 	int64_t full_until_ms; /* it said that it has no room */
 	GPtrArray *runs; /* struct cell_run */
 	uint32_t foreign; /* runs of unknown jobs */
+	const struct cell_job *reserved_for; /* only its tasks are started here; null: any */
 };
 
 /* What executors of one kind have in common. */
@@ -258,6 +261,11 @@
 
 void task_take_checkpoint(struct task *task, const char *checkpoint);
 
+/* cell_lasting.c: tasks that run until their job is cancelled */
+void lasting_run_ended(struct waxwing_cell *cell, struct cell_run *run, enum waxwing_run_end end,
+		       int64_t now_ms);
+void lasting_sweep(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms);
+
 /* cell_keep.c: jobs that must be kept */
 bool keep_offer(struct waxwing_cell *cell, int64_t now_ms, uint64_t issuer,
 		Waxwing__JobOffer *offer); /* false: it is a new job */
@@ -269,12 +277,19 @@
 void keep_sweep(struct waxwing_cell *cell, int64_t now_ms);
 
 /* cell_place.c */
+bool step_has_room(struct waxwing_cell *cell, const struct cell_job *job, uint32_t step,
+		   int64_t now_ms);
 void cell_place(struct waxwing_cell *cell, int64_t now_ms);
 double cell_capacity(const struct waxwing_cell *cell, const char *service, int64_t now_ms);
 double cell_wait_ms(const struct waxwing_cell *cell, const char *service, int64_t now_ms);
 bool step_fits_somewhere(const struct waxwing_cell *cell, const Waxwing__Job *spec,
 			 const Waxwing__JobStep *step);
 
+static inline bool run_lasts(const struct cell_run *run)
+{
+	return run->job && run->job->steps[run->name.step].spec->long_running;
+}
+
 static inline struct task *run_task(const struct cell_run *run)
 {
 	return &run->job->steps[run->name.step].tasks[run->name.index];
--- a/src/cell/cell_run.c
+++ b/src/cell/cell_run.c
@@ -140,17 +140,20 @@
 	struct cell_job *job = run->job;
 	struct executor *executor = run->executor;
 	struct waxwing_run_name name = run->name;
+	bool lasts = run_lasts(run);
 
 	log_end(run, end, now_ms);
 	cell->done += end == WAXWING_RUN_DONE;
 	cell->failed += end == WAXWING_RUN_FAILED;
 	cell->lapsed += end == WAXWING_RUN_LAPSED;
-	if (job && end == WAXWING_RUN_DONE) {
+	if (job && end == WAXWING_RUN_DONE && !lasts) {
 		learn(run, now_ms);
 		waxwing_breaker_succeeded(&executor->breaker, now_ms);
 	}
 	if (job)
 		run_task(run)->run = NULL;
+	if (lasts && !job->ended)
+		lasting_run_ended(cell, run, end, now_ms);
 	run_free(cell, run);
 	if (end == WAXWING_RUN_FAILED)
 		executor_failed(cell, executor, now_ms, 1);
@@ -160,6 +163,8 @@
 	if (job->ended) {
 		job->steps[name.step].tasks[name.index].state = TASK_DONE;
 		job_leave(cell, job);
+	} else if (lasts) {
+		return;
 	} else if (end == WAXWING_RUN_DONE) {
 		job_task_done(cell, job, name.step, name.index, now_ms);
 	} else if (end == WAXWING_RUN_FAILED) {
