Serve gangs and steps that belong on one rack

Until now both were refused. One member's end as done ends all; after any other end, and when a member's start was not taken, the others are stopped, and all start again once none runs. A gang's failures and its saved work are kept with its first task.

--- a/src/cell/cell_hold.c
+++ b/src/cell/cell_hold.c
@@ -94,7 +94,7 @@
 		return;
 	executor->ended_upto = row->number;
 	if (job)
-		task_take_checkpoint(&job->steps[row->name.step].tasks[row->name.index],
+		task_take_checkpoint(checkpoint_task(job, row->name.step, row->name.index),
 				     row->checkpoint);
 	if (run)
 		run_ended(cell, run, row->end, now_ms);
@@ -126,7 +126,8 @@
 			run_adopt(cell, run, job);
 	}
 	if (run->job)
-		task_take_checkpoint(run_task(run), row->checkpoint);
+		task_take_checkpoint(checkpoint_task(run->job, run->name.step, run->name.index),
+				     row->checkpoint);
 	if (run->state == RUN_STARTING) {
 		run->state = RUN_RUNNING;
 		run->started_ms = now_ms;
--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -172,6 +172,7 @@
 		for (uint32_t k = 0; k < job->spec->steps[i]->count; k++)
 			free_task(&job->steps[i].tasks[k]);
 		g_free(job->steps[i].tasks);
+		g_free(job->steps[i].rack);
 	}
 	g_free(job->steps);
 	if (job->askers)
@@ -273,29 +274,44 @@
 	job_close(cell, job, now_ms);
 }
 
-void job_task_done(struct waxwing_cell *cell, struct cell_job *job, uint32_t step, uint32_t index,
-		   int64_t now_ms)
+static void finish_task(struct waxwing_cell *cell, struct cell_job *job, uint32_t step,
+			uint32_t index, int64_t now_ms)
 {
 	struct task *task = &job->steps[step].tasks[index];
 
-	if (task->state == TASK_DONE || job->ended || job->steps[step].spec->long_running)
+	if (task->state == TASK_DONE)
 		return;
 	if (task->state == TASK_READY)
 		count_ready(cell, job, step, -1);
 	else if (task->run)
-		run_cast_off(cell, task->run, now_ms);
+		run_cast_off(cell, task->run, job->steps[step].spec->gang, now_ms);
 	task->state = TASK_DONE;
 	job->steps[step].done++;
 	job->undone--;
 	if (job->kept)
 		keep_done(cell, job, step, index);
+}
+
+/* The end of one member of a gang stands for all. */
+void job_task_done(struct waxwing_cell *cell, struct cell_job *job, uint32_t step, uint32_t index,
+		   int64_t now_ms)
+{
+	struct cell_step *at = &job->steps[step];
+
+	if (at->tasks[index].state == TASK_DONE || job->ended || at->spec->long_running)
+		return;
+	if (at->spec->gang)
+		for (uint32_t member = 0; member < at->spec->count; member++)
+			finish_task(cell, job, step, member, now_ms);
+	else
+		finish_task(cell, job, step, index, now_ms);
 	if (!job->undone) {
 		mark_started(job);
 		if (job->kept)
 			keep_end(cell, job, now_ms, WAXWING_STATE_COMPLETED);
 		else
 			job_end(cell, job, now_ms, WAXWING_JOB_COMPLETED, WAXWING_OK, 0);
-	} else if (job->steps[step].done == job->steps[step].spec->count) {
+	} else if (at->done == at->spec->count) {
 		job_open_steps(cell, job);
 	}
 }
@@ -335,6 +351,26 @@
 	return true;
 }
 
+/* Failures of a gang's runs are kept with its first task. */
+static struct task *failure_task(struct cell_job *job, const struct waxwing_run_name *name)
+{
+	const struct cell_step *at = &job->steps[name->step];
+
+	return &at->tasks[at->spec->gang ? 0 : name->index];
+}
+
+static void note_failure(struct waxwing_cell *cell, struct cell_job *job,
+			 const struct waxwing_run_name *name)
+{
+	struct waxwing_run_name kept = *name;
+
+	if (!task_add_failure(failure_task(job, name), name->run) || !job->kept)
+		return;
+	if (job->steps[name->step].spec->gang)
+		kept.index = 0;
+	keep_failure(cell, &kept);
+}
+
 /* The task's run, or one that was given up as lapsed: the task may have another by now. */
 void job_run_failed(struct waxwing_cell *cell, struct cell_job *job,
 		    const struct waxwing_run_name *name, const struct executor *executor,
@@ -345,13 +381,12 @@
 
 	if (task->state == TASK_DONE || job->ended || job->steps[name->step].spec->long_running)
 		return;
-	if (task_add_failure(task, name->run) && job->kept)
-		keep_failure(cell, name);
+	note_failure(cell, job, name);
 	g_free(task->failed_at);
 	task->failed_at = g_strdup(executor->id);
 	if (!job->kept && is_suspect(executor))
 		most += FAILURES_FORGIVEN;
-	if (task_failures(task) < most) {
+	if (task_failures(failure_task(job, name)) < most) {
 		if (task->state == TASK_OUT && !task->run)
 			job_task_ready(cell, job, name->step, name->index);
 		return;
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -23,14 +23,35 @@
 	       (!step->requirement || executor_has_label(executor, step->requirement));
 }
 
+bool step_could_use(const struct executor *executor, const Waxwing__Job *spec,
+		    const Waxwing__JobStep *step)
+{
+	return strcmp(executor->service, spec->service) == 0 && could_fit(executor, step);
+}
+
+/* So many tasks of a step fit into the room on one executor. */
+uint32_t tasks_that_fit(const struct waxwing_capacity *room, const Waxwing__JobStep *step)
+{
+	uint32_t count = step->anti_affinity ? step->anti_affinity : UINT32_MAX;
+
+	if (step->cpu_milli)
+		count = MIN(count, room->cpu_milli / step->cpu_milli);
+	if (step->mem_mb)
+		count = MIN(count, room->mem_mb / step->mem_mb);
+	if (step->gpu)
+		count = MIN(count, room->gpu / step->gpu);
+	return count;
+}
+
 bool step_fits_somewhere(const struct waxwing_cell *cell, const Waxwing__Job *spec,
 			 const Waxwing__JobStep *step)
 {
+	if (step->gang)
+		return gang_fits_somewhere(cell, spec, step);
 	for (guint i = 0; i < cell->list->len; i++) {
 		const struct executor *executor = cell->list->pdata[i];
 
-		if (!executor->removed && strcmp(executor->service, spec->service) == 0 &&
-		    could_fit(executor, step))
+		if (!executor->removed && step_could_use(executor, spec, step))
 			return true;
 	}
 	return false;
@@ -51,9 +72,12 @@
 
 static bool is_allowed(const struct executor *executor, const struct cell_job *job, uint32_t step)
 {
-	const Waxwing__JobStep *spec = job->steps[step].spec;
+	const struct cell_step *at = &job->steps[step];
+	const Waxwing__JobStep *spec = at->spec;
 
-	if (strcmp(executor->service, job->spec->service) != 0 || !could_fit(executor, spec))
+	if (!step_could_use(executor, job->spec, spec))
+		return false;
+	if (at->rack_only && g_strcmp0(executor->rack, at->rack) != 0)
 		return false;
 	if (executor->reserved_for && executor->reserved_for != job)
 		return false;
@@ -62,17 +86,20 @@
 
 /* Work a task gets done in a millisecond there. */
 static double speed_for(const struct waxwing_cell *cell, const struct executor *executor,
-			const Waxwing__JobStep *step)
+			const struct cell_step *step)
 {
+	const char *data = step->spec->affinity;
 	double speed = executor->speed.value;
 
-	if (step->affinity && step->affinity[0] && strcmp(step->affinity, executor->rack) != 0)
+	if (data && data[0] && strcmp(data, executor->rack) != 0)
+		speed /= cell->options.far_factor;
+	if (step->rack && strcmp(step->rack, executor->rack) != 0)
 		speed /= cell->options.far_factor;
 	return speed;
 }
 
-static struct executor *pick(struct waxwing_cell *cell, const struct cell_job *job, uint32_t step,
-			     const struct task *task, int64_t now_ms, double *speed)
+struct executor *pick_executor(struct waxwing_cell *cell, const struct cell_job *job, uint32_t step,
+			       const struct task *task, int64_t now_ms, double *speed)
 {
 	const Waxwing__JobStep *spec = job->steps[step].spec;
 	struct waxwing_capacity needs = step_needs(spec);
@@ -88,7 +115,7 @@
 			continue;
 		if (task->failed_at && strcmp(task->failed_at, executor->id) == 0)
 			continue;
-		here = speed_for(cell, executor, spec);
+		here = speed_for(cell, executor, &job->steps[step]);
 		if (best && here < best_speed * (1 - ALIKE_SPEED))
 			continue;
 		if (best && here < best_speed * (1 + ALIKE_SPEED) &&
@@ -137,7 +164,7 @@
 		return false;
 	for (guint i = 0; i < cell->list->len; i++) {
 		struct executor *executor = cell->list->pdata[i];
-		double there = speed_for(cell, executor, spec);
+		double there = speed_for(cell, executor, &job->steps[step]);
 		double end;
 
 		if (there < speed * WORTH_WAITING_SPEED || !executor->runs->len ||
@@ -153,62 +180,106 @@
 	return false;
 }
 
-static void start_task(struct waxwing_cell *cell, struct cell_job *job, uint32_t step,
-		       uint32_t index, struct executor *executor, int64_t now_ms)
+struct cell_run *take_place(struct waxwing_cell *cell, struct cell_job *job, uint32_t step,
+			    uint32_t index, uint32_t number, struct executor *executor,
+			    int64_t now_ms)
 {
-	struct task *task = &job->steps[step].tasks[index];
+	struct waxwing_run_name name = { job->id, 0, step, index, number };
 	struct waxwing_capacity needs = step_needs(job->steps[step].spec);
+	struct cell_run *run = run_create(cell, executor, &name, &needs);
+
+	run->job = job;
+	run->state = RUN_STARTING;
+	run->started_ms = now_ms;
+	waxwing_breaker_start(&executor->breaker);
+	return run;
+}
+
+void give_start(struct waxwing_cell *cell, struct cell_run *run, int64_t now_ms)
+{
+	struct cell_job *job = run->job;
+	struct executor *executor = run->executor;
+	struct task *task = run_task(run);
 	struct waxwing_run_order order = {
-		.name = { job->id, 0, step, index, task->last_run + 1 },
+		.name = run->name,
 		.spec = job->spec->spec,
-		.checkpoint = task->checkpoint,
+		.checkpoint = checkpoint_task(job, run->name.step, run->name.index)->checkpoint,
 		.until_ms = executor_until(cell, executor, now_ms),
 	};
 	struct waxwing_order_target target;
-	struct cell_run *run = run_create(cell, executor, &order.name, &needs);
 
-	run->job = job;
-	run->state = RUN_STARTING;
-	run->started_ms = now_ms;
-	task->last_run = order.name.run;
+	task->last_run = run->name.run;
 	task->run = run;
-	job_task_taken(cell, job, step, index);
-	waxwing_breaker_start(&executor->breaker);
+	job_task_taken(cell, job, run->name.step, run->name.index);
 	executor_lease_given(cell, executor, now_ms);
 	cell->starts++;
 	waxwing_event("run_started",
 		      "job=%016llx step=%u index=%u run=%u executor=%s speed_pct=%d due_in_ms=%lld "
 		      "ready_jobs=%d",
-		      (unsigned long long)job->id, step, index, order.name.run, executor->id,
-		      (int)(executor->speed.value * 100), (long long)(job->due_ms - now_ms),
-		      g_sequence_get_length(cell->ready));
+		      (unsigned long long)job->id, run->name.step, run->name.index, run->name.run,
+		      executor->id, (int)(executor->speed.value * 100),
+		      (long long)(job->due_ms - now_ms), g_sequence_get_length(cell->ready));
 	executor_target(cell, executor, &target);
 	cell->options.ops->start(cell->options.data, &target, &order);
 }
 
+/* The rack on which most of the step's tasks find room now. */
+void choose_rack(struct waxwing_cell *cell, struct cell_job *job, uint32_t step, int64_t now_ms)
+{
+	struct cell_step *at = &job->steps[step];
+	GHashTable *racks = g_hash_table_new(g_str_hash, g_str_equal);
+	const char *best = NULL;
+	guint best_places = 0;
+
+	for (guint i = 0; i < cell->list->len; i++) {
+		const struct executor *executor = cell->list->pdata[i];
+		struct waxwing_capacity room = {
+			executor->capacity.cpu_milli - executor->used.cpu_milli,
+			executor->capacity.mem_mb - executor->used.mem_mb,
+			executor->capacity.gpu - executor->used.gpu,
+		};
+		guint places = GPOINTER_TO_UINT(g_hash_table_lookup(racks, executor->rack));
+
+		if (!executor_usable(executor, now_ms) ||
+		    !fits(executor, &(struct waxwing_capacity){ 0 }) ||
+		    !step_could_use(executor, job->spec, at->spec))
+			continue;
+		places += MIN(tasks_that_fit(&room, at->spec), at->spec->count);
+		g_hash_table_insert(racks, executor->rack, GUINT_TO_POINTER(places));
+		if (places <= best_places)
+			continue;
+		best = executor->rack;
+		best_places = places;
+	}
+	g_free(at->rack);
+	at->rack = g_strdup(best);
+	g_hash_table_destroy(racks);
+}
+
 bool step_has_room(struct waxwing_cell *cell, const struct cell_job *job, uint32_t step,
 		   int64_t now_ms)
 {
 	static const struct task any = { .state = TASK_READY };
 	double speed;
 
-	return pick(cell, job, step, &any, now_ms, &speed) != NULL;
+	return pick_executor(cell, job, step, &any, now_ms, &speed) != NULL;
 }
 
 /*
  * Keeps other jobs off the executor that has most room for the step, so that the room grows as what runs
- * there ends. Reservations are made anew in each round, in the order of service.
+ * there ends. Reservations are made anew in each round, in the order of service. Returns how many of the
+ * step's tasks will find room there.
  */
-static void reserve(struct waxwing_cell *cell, const struct cell_job *job, uint32_t step,
-		    int64_t now_ms)
+uint32_t reserve_executor(struct waxwing_cell *cell, const struct cell_job *job, uint32_t step,
+			  int64_t now_ms)
 {
 	struct executor *best = NULL;
-	uint32_t best_free = 0;
+	uint32_t most = 0;
 
 	for (guint i = 0; i < cell->list->len; i++) {
 		struct executor *executor = cell->list->pdata[i];
-		uint32_t lasting = 0;
-		uint32_t free;
+		struct waxwing_capacity room = executor->capacity;
+		uint32_t places;
 
 		if (!executor_usable(executor, now_ms) || executor->reserved_for ||
 		    !is_allowed(executor, job, step))
@@ -216,16 +287,18 @@
 		for (guint k = 0; k < executor->runs->len; k++) {
 			const struct cell_run *run = executor->runs->pdata[k];
 
-			lasting += run_lasts(run) ? run->needs.cpu_milli : 0;
+			if (run_lasts(run))
+				room.cpu_milli -= MIN(run->needs.cpu_milli, room.cpu_milli);
 		}
-		free = executor->capacity.cpu_milli - MIN(lasting, executor->capacity.cpu_milli);
-		if (free < job->steps[step].spec->cpu_milli || free <= best_free)
+		places = tasks_that_fit(&room, job->steps[step].spec);
+		if (places <= most)
 			continue;
 		best = executor;
-		best_free = free;
+		most = places;
 	}
 	if (best)
 		best->reserved_for = job;
+	return most;
 }
 
 /* Starts what it can of a step. */
@@ -234,20 +307,29 @@
 {
 	struct cell_step *at = &job->steps[step];
 
+	if (at->spec->gang) {
+		gang_place(cell, job, step, now_ms);
+		return;
+	}
+	if (at->spec->same_rack && !at->rack)
+		choose_rack(cell, job, step, now_ms);
 	for (uint32_t index = 0; index < at->spec->count; index++) {
 		struct executor *executor;
 		double speed;
 
 		if (at->tasks[index].state != TASK_READY || now_ms < at->tasks[index].not_before_ms)
 			continue;
-		executor = pick(cell, job, step, &at->tasks[index], now_ms, &speed);
+		executor = pick_executor(cell, job, step, &at->tasks[index], now_ms, &speed);
 		if (!executor && at->spec->long_running)
-			reserve(cell, job, step, now_ms);
+			reserve_executor(cell, job, step, now_ms);
 		if (!executor)
 			return;
 		if (should_wait(cell, job, step, now_ms, speed, awaited))
 			continue;
-		start_task(cell, job, step, index, executor, now_ms);
+		give_start(cell,
+			   take_place(cell, job, step, index, at->tasks[index].last_run + 1,
+				      executor, now_ms),
+			   now_ms);
 	}
 }
 
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -48,6 +48,8 @@
 	struct task *tasks;
 	uint32_t done;
 	bool open; /* all steps before it have ended */
+	char *rack; /* where its tasks should run; null: on any */
+	bool rack_only; /* and nowhere else */
 };
 
 struct cell_job {
@@ -224,7 +226,8 @@
 void run_adopt(struct waxwing_cell *cell, struct cell_run *run, struct cell_job *job);
 void run_stop(struct waxwing_cell *cell, struct cell_run *run, int64_t now_ms);
 void run_release_task(struct waxwing_cell *cell, struct cell_run *run);
-void run_cast_off(struct waxwing_cell *cell, struct cell_run *run, int64_t now_ms);
+void run_cast_off(struct waxwing_cell *cell, struct cell_run *run, bool ends_itself,
+		  int64_t now_ms);
 void run_free(struct waxwing_cell *cell, struct cell_run *run);
 void run_ended(struct waxwing_cell *cell, struct cell_run *run, enum waxwing_run_end end,
 	       int64_t now_ms);
@@ -276,7 +279,25 @@
 	      enum waxwing_job_state state);
 void keep_sweep(struct waxwing_cell *cell, int64_t now_ms);
 
+/* cell_gang.c: tasks that run at the same time, or not at all */
+void gang_place(struct waxwing_cell *cell, struct cell_job *job, uint32_t step, int64_t now_ms);
+void gang_break(struct waxwing_cell *cell, struct cell_job *job, uint32_t step, int64_t now_ms);
+bool gang_fits_somewhere(const struct waxwing_cell *cell, const Waxwing__Job *spec,
+			 const Waxwing__JobStep *step);
+
 /* cell_place.c */
+struct executor *pick_executor(struct waxwing_cell *cell, const struct cell_job *job, uint32_t step,
+			       const struct task *task, int64_t now_ms, double *speed);
+struct cell_run *take_place(struct waxwing_cell *cell, struct cell_job *job, uint32_t step,
+			    uint32_t index, uint32_t number, struct executor *executor,
+			    int64_t now_ms);
+void give_start(struct waxwing_cell *cell, struct cell_run *run, int64_t now_ms);
+uint32_t reserve_executor(struct waxwing_cell *cell, const struct cell_job *job, uint32_t step,
+			  int64_t now_ms);
+uint32_t tasks_that_fit(const struct waxwing_capacity *room, const Waxwing__JobStep *step);
+bool step_could_use(const struct executor *executor, const Waxwing__Job *spec,
+		    const Waxwing__JobStep *step);
+void choose_rack(struct waxwing_cell *cell, struct cell_job *job, uint32_t step, int64_t now_ms);
 bool step_has_room(struct waxwing_cell *cell, const struct cell_job *job, uint32_t step,
 		   int64_t now_ms);
 void cell_place(struct waxwing_cell *cell, int64_t now_ms);
@@ -290,6 +311,12 @@
 	return run->job && run->job->steps[run->name.step].spec->long_running;
 }
 
+/* The runs of a gang save their work for each other. */
+static inline struct task *checkpoint_task(struct cell_job *job, uint32_t step, uint32_t index)
+{
+	return &job->steps[step].tasks[job->steps[step].spec->gang ? 0 : index];
+}
+
 static inline struct task *run_task(const struct cell_run *run)
 {
 	return &run->job->steps[run->name.step].tasks[run->name.index];
--- a/src/cell/cell_run.c
+++ b/src/cell/cell_run.c
@@ -208,12 +208,16 @@
 {
 	struct executor *executor = cell_executor(cell, life);
 	struct cell_run *run = executor ? run_find(executor, name) : NULL;
+	struct cell_job *gang_of = NULL;
 
 	if (!executor)
 		return;
 	executor_take_clock(executor, now_ms, clock_ms);
 	if (!run || (run->state != RUN_STARTING && run->state != RUN_STOPPING))
 		return;
+	if (run->job && !run->job->ended && run->job->steps[name->step].spec->gang &&
+	    answer != WAXWING_START_RUNS)
+		gang_of = run->job;
 	switch (answer) {
 	case WAXWING_START_RUNS:
 		run->started_ms = now_ms;
@@ -258,6 +262,9 @@
 		run_stop(cell, run, now_ms);
 		break;
 	}
+	/* the others would wait for this one in vain */
+	if (gang_of)
+		gang_break(cell, gang_of, name->step, now_ms);
 }
 
 void waxwing_cell_stop_answered(struct waxwing_cell *cell, int64_t now_ms, uint64_t life,
@@ -279,14 +286,23 @@
 	executor->hold_wanted = true;
 }
 
-/* An earlier run of the task had ended as done; this one is stopped, and keeps its room until then. */
-void run_cast_off(struct waxwing_cell *cell, struct cell_run *run, int64_t now_ms)
+/*
+ * Another run of the task, or of its gang, has ended as done; this one keeps its room until its executor
+ * lists its end.
+ */
+void run_cast_off(struct waxwing_cell *cell, struct cell_run *run, bool ends_itself, int64_t now_ms)
 {
 	run->job->out--;
 	run_task(run)->run = NULL;
 	run->job = NULL;
-	if (run->state != RUN_STOPPING)
+	if (run->state == RUN_STOPPING)
+		return;
+	if (!ends_itself) {
 		run_stop(cell, run, now_ms);
+		return;
+	}
+	run->state = RUN_STOPPING;
+	run->stop_next_ms = now_ms + STOP_AGAIN_MS;
 }
 
 /* The task may run elsewhere now; the run keeps its room until its executor's list shows its end. */
--- a/test/test_cell.c
+++ b/test/test_cell.c
@@ -153,6 +153,9 @@
 	}
 }
 
+/* Of the executors that are added next. */
+static const char *rack = "rack";
+
 static void add_executor(struct fixture *fixture, const char *id, uint32_t cpu_milli, int64_t born)
 {
 	static const char *const labels[] = { "kind", "rack", NULL };
@@ -162,7 +165,7 @@
 		.service = "service",
 		.zone = "zone",
 		.kind = "kind",
-		.rack = "rack",
+		.rack = rack,
 		.labels = labels,
 		.capacity = { cpu_milli, 65536, 0 },
 		.born_ms = born,
@@ -696,6 +699,157 @@
 	tear_down(&fixture);
 }
 
+static void offer_gang(struct fixture *fixture, uint64_t id, uint32_t count, uint32_t cpu_milli,
+		       bool same_rack)
+{
+	model.has_gang = model.gang = true;
+	model.has_same_rack = model.same_rack = same_rack;
+	offer(fixture, id, count, cpu_milli, 3000, false);
+	model = (Waxwing__JobStep)WAXWING__JOB_STEP__INIT;
+}
+
+static void end_start(struct fixture *fixture, guint index, uint64_t number,
+		      enum waxwing_run_end end)
+{
+	struct start *start = start_at(fixture, index);
+	struct waxwing_ended_row ended = { .number = number, .name = start->name, .end = end };
+
+	answer_hold(fixture, start->life, NULL, 0, &ended, 1);
+}
+
+/* All members start at once and with one number, or none does. */
+static void test_gang_starts(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture, false);
+	ready_executor(&fixture, "a", 16000);
+	ready_executor(&fixture, "b", 16000);
+	offer(&fixture, 1, 1, 10000, 100, false);
+	run(&fixture, 10);
+	offer_gang(&fixture, 2, 4, 7000, false);
+	run(&fixture, 50);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 1);
+	started(&fixture, 0);
+	end_start(&fixture, 0, 1, WAXWING_RUN_DONE);
+	run(&fixture, 5);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 5);
+	for (guint i = 1; i < 5; i++)
+		g_assert_cmpuint(start_at(&fixture, i)->name.run, ==, 1);
+	tear_down(&fixture);
+}
+
+/* One member's end as done is the end of all. */
+static void test_gang_ends(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture, false);
+	ready_executor(&fixture, "a", 16000);
+	ready_executor(&fixture, "b", 16000);
+	offer_gang(&fixture, 2, 4, 7000, false);
+	run(&fixture, 10);
+	for (guint i = 0; i < 4; i++)
+		started(&fixture, i);
+	end_start(&fixture, 2, 1, WAXWING_RUN_DONE);
+	g_assert_cmpuint(verdict_at(&fixture, 0)->outcome, ==, WAXWING_JOB_COMPLETED);
+	g_assert_cmpuint(fixture.recorder.stops->len, ==, 0);
+	tear_down(&fixture);
+}
+
+/* When one member fails the others are stopped, and all start again once none runs. */
+static void test_gang_breaks(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture, false);
+	ready_executor(&fixture, "a", 16000);
+	ready_executor(&fixture, "b", 16000);
+	ready_executor(&fixture, "c", 16000);
+	offer_gang(&fixture, 2, 3, 7000, false);
+	run(&fixture, 10);
+	for (guint i = 0; i < 3; i++)
+		started(&fixture, i);
+	end_start(&fixture, 0, 1, WAXWING_RUN_FAILED);
+	run(&fixture, 10);
+	g_assert_cmpuint(fixture.recorder.stops->len, ==, 2);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 3);
+	end_start(&fixture, 1, 2, WAXWING_RUN_BROKEN);
+	run(&fixture, 10);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 3);
+	end_start(&fixture, 2, 3, WAXWING_RUN_STOPPED);
+	run(&fixture, 10);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 6);
+	for (guint i = 3; i < 6; i++)
+		g_assert_cmpuint(start_at(&fixture, i)->name.run, ==, 2);
+	tear_down(&fixture);
+}
+
+/* A member that was not taken leaves the others waiting at their executors: they are stopped at once. */
+static void test_gang_refused(void)
+{
+	struct fixture fixture;
+	struct start *refused;
+
+	set_up(&fixture, false);
+	ready_executor(&fixture, "a", 8000);
+	ready_executor(&fixture, "b", 8000);
+	offer_gang(&fixture, 2, 2, 7000, false);
+	run(&fixture, 10);
+	started(&fixture, 0);
+	refused = start_at(&fixture, 1);
+	waxwing_cell_start_answered(fixture.cell, fixture.now_ms, refused->life, &refused->name,
+				    WAXWING_START_NO_ROOM, 0);
+	g_assert_cmpuint(fixture.recorder.stops->len, ==, 1);
+	tear_down(&fixture);
+}
+
+/* A gang that belongs on one rack waits for room there while that is in time. */
+static void test_gang_on_a_rack(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture, false);
+	ready_executor(&fixture, "a", 16000);
+	rack = "other";
+	ready_executor(&fixture, "b", 8000);
+	ready_executor(&fixture, "c", 8000);
+	ready_executor(&fixture, "d", 8000);
+	rack = "rack";
+	offer_gang(&fixture, 2, 3, 7000, true);
+	run(&fixture, 10);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 3);
+	for (guint i = 0; i < 3; i++)
+		g_assert_cmpstr(start_at(&fixture, i)->executor, !=, "a");
+	tear_down(&fixture);
+}
+
+/* Gangs that together want more than there is do not hold parts of it from each other. */
+static void test_gangs_contend(void)
+{
+	struct fixture fixture;
+	guint done = 0;
+
+	set_up(&fixture, false);
+	ready_executor(&fixture, "a", 16000);
+	ready_executor(&fixture, "b", 16000);
+	for (uint64_t id = 1; id <= 3; id++)
+		offer_gang(&fixture, id, 3, 7000, false);
+	offer(&fixture, 9, 20, 7000, 100, false);
+	for (uint64_t number = 1; number < 40 && done < fixture.recorder.starts->len + 1;
+	     number++) {
+		run(&fixture, 20);
+		if (done == fixture.recorder.starts->len)
+			break;
+		started(&fixture, done);
+		end_start(&fixture, done++, number, WAXWING_RUN_DONE);
+	}
+	g_assert_cmpuint(fixture.recorder.verdicts->len, ==, 4);
+	for (guint i = 0; i < 4; i++)
+		g_assert_cmpuint(verdict_at(&fixture, i)->outcome, ==, WAXWING_JOB_COMPLETED);
+	tear_down(&fixture);
+}
+
 /* A start without an answer is stopped; its task waits until the run cannot come any more. */
 static void test_start_unanswered(void)
 {
@@ -824,6 +978,12 @@
 	g_test_add_func("/cell/lasting", test_lasting);
 	g_test_add_func("/cell/lasting_gets_room", test_lasting_gets_room);
 	g_test_add_func("/cell/lasting_leaves", test_lasting_leaves);
+	g_test_add_func("/cell/gang_starts", test_gang_starts);
+	g_test_add_func("/cell/gang_ends", test_gang_ends);
+	g_test_add_func("/cell/gang_breaks", test_gang_breaks);
+	g_test_add_func("/cell/gang_refused", test_gang_refused);
+	g_test_add_func("/cell/gang_on_a_rack", test_gang_on_a_rack);
+	g_test_add_func("/cell/gangs_contend", test_gangs_contend);
 	g_test_add_func("/cell/start_unanswered", test_start_unanswered);
 	g_test_add_func("/cell/new_life", test_new_life);
 	g_test_add_func("/cell/refuses_hopeless", test_refuses_hopeless);
