--- /dev/null
+++ b/src/base/histogram.h
@@ -0,0 +1,29 @@
+/**
+ * Times in milliseconds, counted by fixed bounds and printed in the Prometheus text format. Not thread-safe.
+ */
+#ifndef WAXWING_HISTOGRAM_H
+#define WAXWING_HISTOGRAM_H
+
+#include <glib.h>
+#include <stdint.h>
+
+/** Upper bounds of the buckets, in milliseconds; one more takes the rest. */
+#define WAXWING_HISTOGRAM_BOUNDS                                                                   \
+	{                                                                                          \
+		1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10000                        \
+	}
+#define WAXWING_HISTOGRAM_BUCKETS 14
+
+/** All zero is an empty one. */
+struct waxwing_histogram {
+	uint64_t counts[WAXWING_HISTOGRAM_BUCKETS];
+	int64_t sum_ms;
+};
+
+void waxwing_histogram_add(struct waxwing_histogram *histogram, int64_t ms);
+
+/** @labels is "" or ends in a comma: `cell="a",`. */
+void waxwing_histogram_print(const struct waxwing_histogram *histogram, GString *text,
+			     const char *name, const char *labels);
+
+#endif
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -120,6 +120,11 @@
 	}
 }
 
+const struct waxwing_histogram *waxwing_cell_start_waits(const struct waxwing_cell *cell)
+{
+	return &cell->start_wait_ms;
+}
+
 void waxwing_cell_waiting(const struct waxwing_cell *cell,
 			  void (*each)(void *data, const char *queue, uint32_t jobs), void *data)
 {
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -20,6 +20,7 @@
 #include <stdint.h>
 
 struct waxwing_cell;
+struct waxwing_histogram;
 
 /**
  * Nodes that do not hear each other for so long take each other for cut off or gone, in milliseconds: an
@@ -275,6 +276,9 @@
 
 void waxwing_cell_view(struct waxwing_cell *cell, int64_t now_ms, struct waxwing_cell_view *view);
 
+/** From a job's arrival at its node to the first start of a task. */
+const struct waxwing_histogram *waxwing_cell_start_waits(const struct waxwing_cell *cell);
+
 /** Calls @each with every queue that has jobs of which no task has started. */
 void waxwing_cell_waiting(const struct waxwing_cell *cell,
 			  void (*each)(void *data, const char *queue, uint32_t jobs), void *data);
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -208,6 +208,8 @@
 	};
 	struct waxwing_order_target target;
 
+	if (!job->started)
+		waxwing_histogram_add(&cell->start_wait_ms, now_ms - job->arrived_ms);
 	task->last_run = run->name.run;
 	task->run = run;
 	job_task_taken(cell, job, run->name.step, run->name.index);
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -4,6 +4,7 @@
 #include "breaker.h"
 #include "cell.h"
 #include "estimate.h"
+#include "histogram.h"
 
 #include <glib.h>
 
@@ -189,6 +190,7 @@
 	uint64_t next_life;
 	uint32_t runs;
 	double queued_core_ms; /* of ready tasks, at speed 1 */
+	struct waxwing_histogram start_wait_ms; /* of jobs, to the first start */
 	uint64_t starts;
 	uint64_t done;
 	uint64_t failed;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -82,6 +82,7 @@
 		      (unsigned long long)item->revision);
 	waxwing_routing_destroy(node->routing);
 	node->routing = routing;
+	node->routing_since_ms = node_now(node);
 }
 
 static void owner_entry_changed(void *data, const struct waxwing_store_item *item)
@@ -242,6 +243,39 @@
 	return true;
 }
 
+static void print_answers(const struct waxwing_node *node, GString *text)
+{
+	static const char *const outcomes[] = { "completed", "failed", "refused", "given_up",
+						"stored" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(outcomes); i++) {
+		char *labels = g_strdup_printf("outcome=\"%s\",", outcomes[i]);
+
+		waxwing_histogram_print(&node->answer_ms[i], text, "waxwing_node_answer_ms",
+					labels);
+		g_free(labels);
+	}
+	for (int reason = 0; reason < WAXWING_ERROR_COUNT; reason++)
+		if (node->not_completed_for[reason])
+			g_string_append_printf(
+				text,
+				"waxwing_node_not_completed_by_reason_total{reason=\"%s\"} %llu\n",
+				waxwing_error_name(reason),
+				(unsigned long long)node->not_completed_for[reason]);
+}
+
+/* How long the jobs of an owned cell waited for their first start, and the records of its journal. */
+static void print_owned(const struct node_cell *at, GString *text)
+{
+	char *labels = g_strdup_printf("cell=\"%s\",", at->name);
+
+	waxwing_histogram_print(waxwing_cell_start_waits(at->cell), text,
+				"waxwing_cell_start_wait_ms", labels);
+	g_string_append_printf(text, "waxwing_journal_delay_ms{cell=\"%s\"} %lld\n", at->name,
+			       (long long)waxwing_journal_delay_ms(at->journal));
+	g_free(labels);
+}
+
 char *waxwing_node_metrics(struct waxwing_node *node)
 {
 	GString *text = g_string_new(NULL);
@@ -257,6 +291,7 @@
 		"waxwing_node_messages_dropped_total %llu\n"
 		"waxwing_node_log_lines_dropped_total %llu\n"
 		"waxwing_node_routing_version %llu\n"
+		"waxwing_node_routing_age_ms %lld\n"
 		"waxwing_node_store_lost_ms %lld\n",
 		(unsigned long long)node->submitted, (unsigned long long)node->completed,
 		(unsigned long long)node->not_completed, g_hash_table_size(node->pendings),
@@ -264,13 +299,16 @@
 		(unsigned long long)node->link->ops->dropped(node->link),
 		(unsigned long long)waxwing_event_log_dropped(),
 		(unsigned long long)(node->routing ? node->routing->version : 0),
+		(long long)(node->routing ? now_ms - node->routing_since_ms : 0),
 		(long long)(node->store_lost_ms ? now_ms - node->store_lost_ms : 0));
+	print_answers(node, text);
 	for (guint i = 0; i < node->cells->len; i++) {
 		struct node_cell *at = node->cells->pdata[i];
 		struct waxwing_cell_view view;
 
 		if (!at->cell)
 			continue;
+		print_owned(at, text);
 		waxwing_cell_view(at->cell, now_ms, &view);
 		g_string_append_printf(text,
 				       "waxwing_cell_executors{cell=\"%s\"} %u\n"
--- a/src/node/node_jobs.c
+++ b/src/node/node_jobs.c
@@ -149,10 +149,14 @@
 		      told->outcome, waxwing_error_name(told->reason), told->may_have_run,
 		      (long long)(node_now(node) - pending->arrived_ms),
 		      (unsigned long long)pending->job->routing_version);
-	if (told->outcome == WAXWING_JOB_COMPLETED || told->outcome == WAXWING_JOB_STORED)
+	waxwing_histogram_add(&node->answer_ms[told->outcome],
+			      node_now(node) - pending->arrived_ms);
+	if (told->outcome == WAXWING_JOB_COMPLETED || told->outcome == WAXWING_JOB_STORED) {
 		node->completed++;
-	else
+	} else {
 		node->not_completed++;
+		node->not_completed_for[told->reason]++;
+	}
 	g_hash_table_steal(node->pendings, &pending->id);
 	while (ticket) {
 		struct waxwing_ticket *next = ticket->next;
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -4,6 +4,7 @@
 #include "claim.h"
 #include "journal.h"
 #include "clock.h"
+#include "histogram.h"
 #include "link.h"
 #include "node.h"
 #include "store_watch.h"
@@ -87,6 +88,10 @@
 		*verdicts; /* struct verdict_copy: to be told once the cells have done their work */
 	bool leaving;
 	bool touched; /* a cell has had events since it last ran */
+	struct waxwing_histogram
+		answer_ms[WAXWING_JOB_STORED + 1]; /* from arrival to answer, by outcome */
+	uint64_t not_completed_for[WAXWING_ERROR_COUNT]; /* jobs, by reason */
+	int64_t routing_since_ms;
 	uint64_t submitted;
 	uint64_t completed;
 	uint64_t not_completed;
--- /dev/null
+++ b/src/node/store_meter.c
@@ -0,0 +1,160 @@
+#include "store_meter.h"
+
+#include "histogram.h"
+
+enum call_kind {
+	KIND_RANGE,
+	KIND_WATCH,
+	KIND_CHANGE,
+	KIND_APPEND,
+	KIND_LEASE,
+	KIND_KEEP,
+	KIND_COUNT,
+};
+
+#define END_COUNT (WAXWING_STORE_UNKNOWN + 1)
+
+static const char *const kind_names[KIND_COUNT] = { "range",  "watch", "change",
+						    "append", "lease", "keep" };
+static const char *const end_names[END_COUNT] = { "ok",		  "conflict", "not_found",
+						  "history_lost", "refused",  "unknown" };
+
+struct meter {
+	struct waxwing_store base; /* first */
+	struct waxwing_store *inner;
+	const struct waxwing_clock *clock;
+	uint64_t ends[KIND_COUNT][END_COUNT];
+	struct waxwing_histogram times[KIND_COUNT];
+};
+
+/* A call that is out. */
+struct metered {
+	struct meter *meter;
+	enum call_kind kind;
+	int64_t sent_ms;
+	struct waxwing_store_reply reply;
+};
+
+static void answered(void *data, const struct waxwing_store_answer *answer)
+{
+	struct metered *call = data;
+	struct meter *meter = call->meter;
+
+	meter->ends[call->kind][answer->end]++;
+	waxwing_histogram_add(&meter->times[call->kind],
+			      waxwing_clock_now(meter->clock) - call->sent_ms);
+	call->reply.done(call->reply.data, answer);
+	g_free(call);
+}
+
+static struct waxwing_store_reply meter_call(struct waxwing_store *store, enum call_kind kind,
+					     struct waxwing_store_reply reply)
+{
+	struct metered *call = g_new0(struct metered, 1);
+
+	call->meter = (struct meter *)store;
+	call->kind = kind;
+	call->sent_ms = waxwing_clock_now(call->meter->clock);
+	call->reply = reply;
+	return (struct waxwing_store_reply){ answered, call };
+}
+
+static struct waxwing_store *inner_of(struct waxwing_store *store)
+{
+	return ((struct meter *)store)->inner;
+}
+
+static void meter_range(struct waxwing_store *store, const char *prefix, const char *after_key,
+			struct waxwing_store_reply reply)
+{
+	struct waxwing_store *inner = inner_of(store);
+
+	inner->ops->range(inner, prefix, after_key, meter_call(store, KIND_RANGE, reply));
+}
+
+static void meter_watch(struct waxwing_store *store, const char *prefix, uint64_t after_revision,
+			uint32_t wait_ms, struct waxwing_store_reply reply)
+{
+	struct waxwing_store *inner = inner_of(store);
+
+	inner->ops->watch(inner, prefix, after_revision, wait_ms,
+			  meter_call(store, KIND_WATCH, reply));
+}
+
+static void meter_change(struct waxwing_store *store, const struct waxwing_store_change *change,
+			 struct waxwing_store_reply reply)
+{
+	struct waxwing_store *inner = inner_of(store);
+
+	inner->ops->change(inner, change, meter_call(store, KIND_CHANGE, reply));
+}
+
+static void meter_append(struct waxwing_store *store, const struct waxwing_store_append *append,
+			 struct waxwing_store_reply reply)
+{
+	struct waxwing_store *inner = inner_of(store);
+
+	inner->ops->append(inner, append, meter_call(store, KIND_APPEND, reply));
+}
+
+static void meter_lease(struct waxwing_store *store, uint32_t ttl_ms,
+			struct waxwing_store_reply reply)
+{
+	struct waxwing_store *inner = inner_of(store);
+
+	inner->ops->lease(inner, ttl_ms, meter_call(store, KIND_LEASE, reply));
+}
+
+static void meter_keep(struct waxwing_store *store, uint64_t lease,
+		       struct waxwing_store_reply reply)
+{
+	struct waxwing_store *inner = inner_of(store);
+
+	inner->ops->keep(inner, lease, meter_call(store, KIND_KEEP, reply));
+}
+
+static const struct waxwing_store_ops meter_ops = {
+	.range = meter_range,
+	.watch = meter_watch,
+	.change = meter_change,
+	.append = meter_append,
+	.lease = meter_lease,
+	.keep = meter_keep,
+};
+
+struct waxwing_store *waxwing_store_meter_create(struct waxwing_store *inner,
+						 const struct waxwing_clock *clock)
+{
+	struct meter *meter = g_new0(struct meter, 1);
+
+	meter->base.ops = &meter_ops;
+	meter->inner = inner;
+	meter->clock = clock;
+	return &meter->base;
+}
+
+void waxwing_store_meter_destroy(struct waxwing_store *store)
+{
+	g_free(store);
+}
+
+void waxwing_store_meter_print(const struct waxwing_store *store, GString *text)
+{
+	const struct meter *meter = (const struct meter *)store;
+
+	for (int kind = 0; kind < KIND_COUNT; kind++) {
+		char *labels = g_strdup_printf("call=\"%s\",", kind_names[kind]);
+
+		for (int end = 0; end < END_COUNT; end++)
+			g_string_append_printf(text,
+					       "waxwing_store_calls_total{call=\"%s\",end=\"%s\"} "
+					       "%llu\n",
+					       kind_names[kind], end_names[end],
+					       (unsigned long long)meter->ends[kind][end]);
+		/* how long a watch takes tells how long nothing happened */
+		if (kind != KIND_WATCH)
+			waxwing_histogram_print(&meter->times[kind], text, "waxwing_store_call_ms",
+						labels);
+		g_free(labels);
+	}
+}
