Refuse kept jobs too that cannot end in time

Cause: only best-effort jobs were refused when their end could be expected to be worthless.

Change: the same forecast for both, before anything of the job is stored; the refusal says when to come back.

Before: /cell/refuses_hopeless_kept fails (none of 40 is refused). After: it passes.

--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -548,14 +548,15 @@
 		}
 	}
 	job = job_create(cell, now_ms, issuer, offer);
-	if (job->kept) {
-		keep_begin(cell, job);
-		return;
-	}
-	job_adopt_runs(cell, job);
-	if (!before && will_be_worthless(cell, now_ms, job, &wait_ms))
+	if (!job->kept)
+		job_adopt_runs(cell, job);
+	if (!before && !job->lasts && will_be_worthless(cell, now_ms, job, &wait_ms)) {
+		job->kept = false; /* nothing of it is stored */
 		job_end(cell, job, now_ms, WAXWING_JOB_REFUSED, WAXWING_ERROR_OVERLOAD,
 			MAX(wait_ms, RETRY_AFTER_LEAST_MS));
+	} else if (job->kept) {
+		keep_begin(cell, job);
+	}
 }
 
 void waxwing_cell_withdraw(struct waxwing_cell *cell, int64_t now_ms, uint64_t id)
--- a/test/test_cell.c
+++ b/test/test_cell.c
@@ -936,6 +936,34 @@
 	tear_down(&fixture);
 }
 
+/*
+ * Jobs that must be kept are refused too when they cannot end in time: all that were taken in a crest
+ * would be late (a copy of luachung-sched with kept jobs of several steps: 10% served in time).
+ */
+static void test_refuses_hopeless_kept(void)
+{
+	struct fixture fixture;
+	uint32_t refused = 0;
+
+	set_up(&fixture, false);
+	ready_executor(&fixture, "a", 16000);
+	for (uint64_t id = 1; id <= 40; id++) {
+		offer_job(&fixture, id, 4, 7000, 300, false, true);
+		waxwing_cell_stored(fixture.cell, fixture.now_ms, fixture.recorder.recorded);
+	}
+	for (guint i = 0; i < fixture.recorder.verdicts->len; i++) {
+		if (verdict_at(&fixture, i)->outcome != WAXWING_JOB_REFUSED)
+			continue;
+		g_assert_cmpuint(verdict_at(&fixture, i)->reason, ==, WAXWING_ERROR_OVERLOAD);
+		g_assert_cmpuint(verdict_at(&fixture, i)->retry_after_ms, >, 0);
+		refused++;
+	}
+	g_assert_cmpuint(fixture.recorder.verdicts->len, ==, 40);
+	g_assert_cmpuint(refused, >, 20);
+	g_assert_cmpuint(refused, <, 40);
+	tear_down(&fixture);
+}
+
 static void test_never_fits(void)
 {
 	struct fixture fixture;
@@ -987,6 +1015,7 @@
 	g_test_add_func("/cell/start_unanswered", test_start_unanswered);
 	g_test_add_func("/cell/new_life", test_new_life);
 	g_test_add_func("/cell/refuses_hopeless", test_refuses_hopeless);
+	g_test_add_func("/cell/refuses_hopeless_kept", test_refuses_hopeless_kept);
 	g_test_add_func("/cell/never_fits", test_never_fits);
 	g_test_add_func("/cell/fenced", test_fenced);
 	return g_test_run();
