Take over runs of steps that are not known to be open yet, and count their ends

Change: such runs are taken over (the former owner knew that the steps before had ended), and an end of a run without a job counts for the job that it names.

Before: /cell/adopts_later_step fails. After: it passes.

--- a/src/cell/cell_hold.c
+++ b/src/cell/cell_hold.c
@@ -88,6 +88,7 @@
 {
 	struct cell_run *run = run_find(executor, &row->name);
 	struct cell_job *job = find_job(cell, &row->name);
+	bool ours = run && run->job;
 	struct ack_wait wait;
 
 	if (row->number <= executor->ended_upto)
@@ -98,10 +99,10 @@
 				     row->checkpoint);
 	if (run)
 		run_ended(cell, run, row->end, now_ms);
-	else if (job && row->end == WAXWING_RUN_DONE)
-		/* of a former owner's run, or of one that was given up as lapsed */
+	/* of a former owner's run, or of one that was given up as lapsed */
+	if (!ours && job && row->end == WAXWING_RUN_DONE)
 		job_task_done(cell, job, row->name.step, row->name.index, now_ms);
-	else if (job && row->end == WAXWING_RUN_FAILED)
+	else if (!ours && job && row->end == WAXWING_RUN_FAILED)
 		job_run_failed(cell, job, &row->name, executor, now_ms);
 	wait = (struct ack_wait){ row->number, cell->recorded };
 	g_array_append_val(executor->ack_waits, wait);
--- a/src/cell/cell_run.c
+++ b/src/cell/cell_run.c
@@ -79,10 +79,13 @@
 {
 	struct task *task = &job->steps[run->name.step].tasks[run->name.index];
 
-	if (task->state != TASK_READY || job->ended) {
+	if (task->state == TASK_OUT || task->state == TASK_DONE || job->ended) {
 		task->last_run = MAX(task->last_run, run->name.run);
 		return; /* stays foreign, and is stopped */
 	}
+	/* the former owner knew of the end of the steps before */
+	if (task->state == TASK_BLOCKED)
+		job_task_ready(cell, job, run->name.step, run->name.index);
 	run->executor->foreign--;
 	run->seen_ms = 0;
 	run->job = job;
--- a/test/test_cell.c
+++ b/test/test_cell.c
@@ -207,12 +207,17 @@
 /* What the steps of the jobs that are offered next are. */
 static Waxwing__JobStep model = WAXWING__JOB_STEP__INIT;
 
+/* Jobs that are offered next have a second step after the first, with as many tasks. */
+static bool two_steps;
+
 static Waxwing__JobOffer *make_offer(uint64_t id, uint32_t count, uint32_t cpu_milli,
 				     uint32_t estimated_ms, bool running_before, bool kept)
 {
 	Waxwing__Job job = WAXWING__JOB__INIT;
 	Waxwing__JobStep step = model;
-	Waxwing__JobStep *steps[] = { &step };
+	Waxwing__JobStep second;
+	Waxwing__JobStep *steps[] = { &step, &second };
+	uint32_t first = 0;
 	Waxwing__JobOffer made = WAXWING__JOB_OFFER__INIT;
 	uint8_t packed[256];
 	size_t len;
@@ -221,7 +226,7 @@
 	job.queue = "queue";
 	job.service = "service";
 	job.spec = "spec";
-	job.n_steps = 1;
+	job.n_steps = two_steps ? 2 : 1;
 	job.steps = steps;
 	job.max_attempts = 3;
 	job.stretch_milli = 1600;
@@ -234,6 +239,9 @@
 	step.cpu_milli = cpu_milli;
 	step.has_estimated_ms = true;
 	step.estimated_ms = estimated_ms;
+	second = step;
+	second.n_after = 1;
+	second.after = &first;
 	made.job = &job;
 	made.has_running_before = true;
 	made.running_before = running_before;
@@ -850,6 +858,40 @@
 	tear_down(&fixture);
 }
 
+/*
+ * A former owner's records of a step's end may be lost with it, while a run of the next step goes on: the
+ * run is taken over, and its end counts, though it is heard before the ends of the step before (kept jobs
+ * of several steps, trouble-1, seed 171944698768: TWICE 27).
+ */
+static void test_adopts_later_step(void)
+{
+	struct fixture fixture;
+	struct waxwing_running_row running = { .name = { 9, 0, 1, 0, 1 } };
+	struct waxwing_ended_row ended = { .number = 1,
+					   .name = running.name,
+					   .end = WAXWING_RUN_DONE };
+	uint64_t life;
+
+	set_up(&fixture, true);
+	add_executor(&fixture, "a", 16000, 0);
+	waxwing_cell_run(fixture.cell, fixture.now_ms);
+	life = fixture.recorder.life;
+	two_steps = true;
+	offer(&fixture, 9, 1, 6000, 100, true);
+	two_steps = false;
+	answer_hold(&fixture, life, &running, 1, NULL, 0);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 0);
+	answer_hold(&fixture, life, NULL, 0, &ended, 1);
+	ended.number = 2;
+	ended.name.step = 0;
+	answer_hold(&fixture, life, NULL, 0, &ended, 1);
+	run(&fixture, 400);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 0);
+	g_assert_cmpuint(fixture.recorder.stops->len, ==, 0);
+	g_assert_cmpuint(verdict_at(&fixture, 0)->outcome, ==, WAXWING_JOB_COMPLETED);
+	tear_down(&fixture);
+}
+
 /* A start without an answer is stopped; its task waits until the run cannot come any more. */
 static void test_start_unanswered(void)
 {
@@ -1012,6 +1054,7 @@
 	g_test_add_func("/cell/gang_refused", test_gang_refused);
 	g_test_add_func("/cell/gang_on_a_rack", test_gang_on_a_rack);
 	g_test_add_func("/cell/gangs_contend", test_gangs_contend);
+	g_test_add_func("/cell/adopts_later_step", test_adopts_later_step);
 	g_test_add_func("/cell/start_unanswered", test_start_unanswered);
 	g_test_add_func("/cell/new_life", test_new_life);
 	g_test_add_func("/cell/refuses_hopeless", test_refuses_hopeless);
