--- a/src/cell/cell_hold.c
+++ b/src/cell/cell_hold.c
@@ -197,6 +197,8 @@
 	executor->hold_next_ms = now_ms + (executor->ack_waits->len ? STORING_MS : 0);
 	executor->answered_ms = now_ms;
 	executor->listed = !cell->options.recovering;
+	if (executor->listed && !cell->first_listed_ms)
+		cell->first_listed_ms = now_ms;
 	if (cell->options.recovering && answer->ended_count)
 		executor->hold_wanted = true;
 }
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -8,6 +8,8 @@
 #define ALIKE_SPEED 0.04
 /* A task waits for a faster executor only if that is faster by so much. */
 #define WORTH_WAITING_SPEED 1.25
+/* Executors that can be reached answer within this after the first did: a look each 200 ms, and its time. */
+#define LISTS_COME_MS 600
 
 static bool fits(const struct executor *executor, const struct waxwing_capacity *needs)
 {
@@ -349,6 +351,16 @@
 	return true;
 }
 
+/*
+ * True while tasks of the job may run on a former owner's orders, or have ended without its successor's
+ * knowledge. When a cut ends, executors answer one after the other.
+ */
+static bool is_unsure(const struct waxwing_cell *cell, const struct cell_job *job, int64_t now_ms)
+{
+	return job->unsure_until_ms &&
+	       (now_ms < job->unsure_until_ms || now_ms - cell->first_listed_ms < LISTS_COME_MS);
+}
+
 void cell_place(struct waxwing_cell *cell, int64_t now_ms)
 {
 	GHashTable *awaited;
@@ -365,7 +377,7 @@
 		struct cell_job *job = g_sequence_get(iter);
 
 		iter = g_sequence_iter_next(iter);
-		if (!sure && now_ms < job->unsure_until_ms)
+		if (!sure && is_unsure(cell, job, now_ms))
 			continue;
 		for (uint32_t step = 0; step < job->spec->n_steps && job->ready; step++)
 			if (job->steps[step].open)
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -187,6 +187,7 @@
 	uint64_t stored; /* records up to it are stored */
 	int64_t created_ms;
 	int64_t swept_ms;
+	int64_t first_listed_ms; /* when the first executor's lists were taken; 0: none were */
 	uint64_t next_life;
 	uint32_t runs;
 	double queued_core_ms; /* of ready tasks, at speed 1 */
--- a/test/test_cell.c
+++ b/test/test_cell.c
@@ -892,6 +892,41 @@
 	tear_down(&fixture);
 }
 
+/*
+ * An owner that took over while it reached no executor waits for the lists of all, not only of the first
+ * that answers when the cut is over (/node/mix seed 81: TWICE).
+ */
+static void test_lists_after_a_cut(void)
+{
+	struct fixture fixture;
+	struct waxwing_hold_answer silence = { .end = WAXWING_HOLD_NO_ANSWER };
+	struct waxwing_ended_row ended = { .number = 1,
+					   .name = { 9, 0, 0, 0, 1 },
+					   .end = WAXWING_RUN_DONE };
+	uint64_t first;
+	uint64_t second;
+
+	set_up(&fixture, true);
+	add_executor(&fixture, "a", 16000, 0);
+	waxwing_cell_run(fixture.cell, fixture.now_ms);
+	first = fixture.recorder.life;
+	add_executor(&fixture, "b", 16000, 0);
+	waxwing_cell_run(fixture.cell, fixture.now_ms);
+	second = fixture.recorder.life;
+	offer(&fixture, 9, 1, 6000, 3000, true);
+	for (int ms = 0; ms < 2500; ms += 100) {
+		waxwing_cell_hold_answered(fixture.cell, fixture.now_ms, first, &silence);
+		waxwing_cell_hold_answered(fixture.cell, fixture.now_ms, second, &silence);
+		run(&fixture, 100);
+	}
+	answer_hold(&fixture, first, NULL, 0, NULL, 0);
+	run(&fixture, 300);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 0);
+	answer_hold(&fixture, second, NULL, 0, &ended, 1);
+	g_assert_cmpuint(verdict_at(&fixture, 0)->outcome, ==, WAXWING_JOB_COMPLETED);
+	tear_down(&fixture);
+}
+
 /* A start without an answer is stopped; its task waits until the run cannot come any more. */
 static void test_start_unanswered(void)
 {
@@ -1055,6 +1090,7 @@
 	g_test_add_func("/cell/gang_on_a_rack", test_gang_on_a_rack);
 	g_test_add_func("/cell/gangs_contend", test_gangs_contend);
 	g_test_add_func("/cell/adopts_later_step", test_adopts_later_step);
+	g_test_add_func("/cell/lists_after_a_cut", test_lists_after_a_cut);
 	g_test_add_func("/cell/start_unanswered", test_start_unanswered);
 	g_test_add_func("/cell/new_life", test_new_life);
 	g_test_add_func("/cell/refuses_hopeless", test_refuses_hopeless);
