Take no more kept jobs than can be caught up with

Cause: new jobs go before late ones.

Change: a kept job is refused, with the time to come back, while more than 2 s of the whole cell's work waits. Not mended: kept jobs have a home cell by their id, so one cell can be behind while others have room.

Before: /cell/kept_backlog fails. After: it passes.

--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -19,6 +19,8 @@
 #define RETRY_AFTER_LEAST_MS 200
 /* A late job still goes before others when no more than this share of its tasks is undone. */
 #define NEARLY_DONE_SHARE 0.25
+/* Work that waits, in time of the whole cell, beyond which no more is taken that must be kept. */
+#define BACKLOG_MOST_MS 2000
 /* Runs of a former owner's orders wait this long for their jobs to be offered again. */
 #define ORPHAN_KEPT_MS 300
 
@@ -523,6 +525,19 @@
 	return now_ms + (int64_t)(*wait_ms + work) > worthless_ms(job);
 }
 
+/*
+ * New jobs go before late ones, which must be run all the same when they are kept: so many are taken as can
+ * be caught up with.
+ */
+static bool is_behind(const struct waxwing_cell *cell, const struct cell_job *job, int64_t now_ms,
+		      uint32_t *wait_ms)
+{
+	if (!job->kept)
+		return false;
+	*wait_ms = (uint32_t)cell_wait_ms(cell, job->spec->service, now_ms);
+	return *wait_ms > BACKLOG_MOST_MS;
+}
+
 void waxwing_cell_offer(struct waxwing_cell *cell, int64_t now_ms, uint64_t issuer,
 			Waxwing__JobOffer *offer)
 {
@@ -550,7 +565,9 @@
 	job = job_create(cell, now_ms, issuer, offer);
 	if (!job->kept)
 		job_adopt_runs(cell, job);
-	if (!before && !job->lasts && will_be_worthless(cell, now_ms, job, &wait_ms)) {
+	if (!before && !job->lasts &&
+	    (will_be_worthless(cell, now_ms, job, &wait_ms) ||
+	     is_behind(cell, job, now_ms, &wait_ms))) {
 		job->kept = false; /* nothing of it is stored */
 		job_end(cell, job, now_ms, WAXWING_JOB_REFUSED, WAXWING_ERROR_OVERLOAD,
 			MAX(wait_ms, RETRY_AFTER_LEAST_MS));
--- a/test/test_cell.c
+++ b/test/test_cell.c
@@ -1041,6 +1041,29 @@
 	tear_down(&fixture);
 }
 
+/*
+ * Kept jobs that are late already have to be run all the same: new ones are refused while there is much of
+ * them, or they would pile up (kept jobs of several steps, hunt-585d-3: LOST 155 to 198).
+ */
+static void test_kept_backlog(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture, false);
+	ready_executor(&fixture, "a", 16000);
+	for (uint64_t id = 1; id <= 10; id++) {
+		offer_job(&fixture, id, 1, 8000, 5000, false, true);
+		waxwing_cell_stored(fixture.cell, fixture.now_ms, fixture.recorder.recorded);
+		run(&fixture, 2000);
+	}
+	g_assert_cmpuint(fixture.recorder.verdicts->len, ==, 10);
+	g_assert_cmpuint(verdict_at(&fixture, 0)->outcome, ==, WAXWING_JOB_STORED);
+	g_assert_cmpuint(verdict_at(&fixture, 9)->outcome, ==, WAXWING_JOB_REFUSED);
+	g_assert_cmpuint(verdict_at(&fixture, 9)->reason, ==, WAXWING_ERROR_OVERLOAD);
+	g_assert_cmpuint(verdict_at(&fixture, 9)->retry_after_ms, >, 2000);
+	tear_down(&fixture);
+}
+
 static void test_never_fits(void)
 {
 	struct fixture fixture;
@@ -1095,6 +1118,7 @@
 	g_test_add_func("/cell/new_life", test_new_life);
 	g_test_add_func("/cell/refuses_hopeless", test_refuses_hopeless);
 	g_test_add_func("/cell/refuses_hopeless_kept", test_refuses_hopeless_kept);
+	g_test_add_func("/cell/kept_backlog", test_kept_backlog);
 	g_test_add_func("/cell/never_fits", test_never_fits);
 	g_test_add_func("/cell/fenced", test_fenced);
 	return g_test_run();
