--- a/src/node/journal.c
+++ b/src/node/journal.c
@@ -279,13 +279,19 @@
 static void take_conflict(struct waxwing_journal *journal,
 			  const struct waxwing_store_answer *answer)
 {
-	if (revision_of(answer, journal->out_key)) {
+	uint64_t guard = revision_of(answer, journal->options.guard_key);
+	bool stands = revision_of(answer, journal->out_key) != 0;
+
+	waxwing_event("segment_conflict", "cell=%s key=%s stands=%d guard=%llu token=%llu",
+		      journal->options.cell, journal->out_key, stands, (unsigned long long)guard,
+		      (unsigned long long)journal->options.fencing_token);
+	if (stands) {
 		journal->removing_now = 0;
 		written(journal);
 		return;
 	}
 	journal->next_ms = now(journal) + RETRY_MS;
-	if (revision_of(answer, journal->options.guard_key) > journal->options.fencing_token)
+	if (guard > journal->options.fencing_token)
 		journal->options.fenced(journal->options.data);
 }
 
--- a/test/standin/store.c
+++ b/test/standin/store.c
@@ -256,13 +256,36 @@
 	return true;
 }
 
+/* The keys of the conditions as they stand. */
+static enum server_verdict show_conflict(struct store *store, struct server_request *request,
+					 struct json_object *object)
+{
+	GString *text = g_string_new("{\"items\":[");
+	struct json_object *row;
+
+	for (size_t i = 0; (row = row_of(object, "Precondition", i)); i++) {
+		const char *key = json_text(row, "Key");
+		const struct entry *entry = g_tree_lookup(store->entries, key);
+
+		if (entry)
+			g_string_append_printf(
+				text,
+				"%s{\"Key\":\"%s\",\"Value\":\"%s\",\"Revision\":%" PRIu64
+				",\"Lease\":%" PRIu64 "}",
+				text->str[text->len - 1] == '[' ? "" : ",", key, entry->value,
+				entry->revision, entry->lease);
+	}
+	g_string_append(text, "]}");
+	return answer(request, 412, text);
+}
+
 static enum server_verdict transact(struct store *store, struct server_request *request,
 				    struct json_object *object)
 {
 	struct json_object *row;
 
 	if (!conditions_hold(store, object))
-		return server_text(request, 412, "{\"items\":[]}");
+		return show_conflict(store, request, object);
 	if (!leases_live(store, object))
 		return server_text(request, 404, "{}");
 	for (size_t i = 0; (row = row_of(object, "Puts", i)); i++)
