--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -623,6 +623,7 @@
 
 static void sweep_job(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms)
 {
+	keep_tell_late_askers(cell, job, now_ms);
 	if (job->ended)
 		return;
 	if (!job->kept && !job->started && now_ms > worthless_ms(job)) {
--- a/src/cell/cell_keep.c
+++ b/src/cell/cell_keep.c
@@ -189,11 +189,11 @@
 }
 
 /* No end was heard, or the store is slow: those that only ask are told what is known for sure. */
-static void tell_late_askers(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms)
+void keep_tell_late_askers(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms)
 {
 	int64_t wait_ms = job->final_state ? END_STORED_MS : END_HEARD_MS;
 
-	for (guint i = job->askers->len; i-- > 0;) {
+	for (guint i = job->askers ? job->askers->len : 0; i-- > 0;) {
 		struct asker asker = g_array_index(job->askers, struct asker, i);
 
 		if (asker.cancel || now_ms - asker.asked_ms < wait_ms)
@@ -396,12 +396,5 @@
 
 void keep_sweep(struct waxwing_cell *cell, int64_t now_ms)
 {
-	GHashTableIter iter;
-	gpointer value;
-
 	g_hash_table_foreach_remove(cell->finished, finished_is_old, &now_ms);
-	g_hash_table_iter_init(&iter, cell->jobs);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		if (((struct cell_job *)value)->askers)
-			tell_late_askers(cell, value, now_ms);
 }
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -280,6 +280,7 @@
 void keep_failure(struct waxwing_cell *cell, const struct waxwing_run_name *name);
 void keep_end(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms,
 	      enum waxwing_job_state state);
+void keep_tell_late_askers(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms);
 void keep_sweep(struct waxwing_cell *cell, int64_t now_ms);
 
 /* cell_gang.c: tasks that run at the same time, or not at all */
