Let any cell accept a job that must be kept: its id is claimed by the write that accepts it

Cause: such a job had a home cell by its id. Offers go to the cell with the least expected wait, and on to another when the owner is silent, says that it accepts none, or refuses. Questions and cancels go to all cells. An offer of a kept job no longer says that it may have run before: nothing starts before its acceptance is stored.

--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -149,6 +149,8 @@
 	void (*verdict)(void *data, uint64_t issuer, const Waxwing__JobVerdict *verdict);
 	/** Writes to the journal; returns the record's number, from 1, rising. */
 	uint64_t (*record)(void *data, const Waxwing__JournalRecord *record);
+	/** A job's state is told no more: its id may be used again. */
+	void (*forget)(void *data, uint64_t job);
 	/** Answers waxwing_cell_ask(). */
 	void (*told)(void *data, uint64_t asker, const Waxwing__JobTold *told);
 	/** An executor has seen a higher token: the cell is another's. */
@@ -229,9 +231,15 @@
 /** The journal was read whole: jobs may start, and offers and asks are answered. */
 void waxwing_cell_recovered(struct waxwing_cell *cell, int64_t now_ms);
 
+/** True until waxwing_cell_recovered(). */
+bool waxwing_cell_recovering(const struct waxwing_cell *cell);
+
 /** All records up to @number are stored. */
 void waxwing_cell_stored(struct waxwing_cell *cell, int64_t now_ms, uint64_t number);
 
+/** The job is accepted already, by another cell or by an earlier owner of this one, and may be over. */
+void waxwing_cell_taken(struct waxwing_cell *cell, int64_t now_ms, uint64_t job);
+
 /** Records that say all that a successor must know, added to @segment. */
 void waxwing_cell_snapshot(const struct waxwing_cell *cell, Waxwing__JournalSegment *segment);
 
--- a/src/cell/cell_keep.c
+++ b/src/cell/cell_keep.c
@@ -54,6 +54,11 @@
 	return true;
 }
 
+bool waxwing_cell_recovering(const struct waxwing_cell *cell)
+{
+	return cell->options.recovering;
+}
+
 bool waxwing_cell_knows(const struct waxwing_cell *cell, uint64_t job)
 {
 	return g_hash_table_contains(cell->jobs, &job) ||
@@ -168,6 +173,19 @@
 	g_list_free(jobs);
 }
 
+void waxwing_cell_taken(struct waxwing_cell *cell, int64_t now_ms, uint64_t id)
+{
+	struct cell_job *job = g_hash_table_lookup(cell->jobs, &id);
+
+	if (!job || !job->kept || job->stored)
+		return;
+	waxwing_event("kept_job_taken", "job=%016llx age_ms=%lld", (unsigned long long)id,
+		      (long long)(now_ms - job->arrived_ms));
+	tell_stored(cell, job->issuer, id);
+	job->kept = false; /* nothing of it is stored here */
+	job_close(cell, job, now_ms);
+}
+
 static enum waxwing_job_state state_of(const struct cell_job *job)
 {
 	return job->started ? WAXWING_STATE_RUNNING : WAXWING_STATE_QUEUED;
@@ -368,9 +386,13 @@
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, cell->jobs);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		if (((struct cell_job *)value)->kept)
-			add_job(records, value);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct cell_job *job = value;
+
+		/* one whose acceptance is not stored may be another cell's in the end */
+		if (job->kept && job->stored)
+			add_job(records, job);
+	}
 	g_hash_table_iter_init(&iter, cell->finished);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct finished *finished = value;
@@ -388,13 +410,18 @@
 	g_ptr_array_free(records, TRUE);
 }
 
-static gboolean finished_is_old(gpointer key, gpointer value, gpointer now_ms)
-{
-	(void)key;
-	return ((const struct finished *)value)->until_ms <= *(int64_t *)now_ms;
-}
-
 void keep_sweep(struct waxwing_cell *cell, int64_t now_ms)
 {
-	g_hash_table_foreach_remove(cell->finished, finished_is_old, &now_ms);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, cell->finished);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct finished *finished = value;
+
+		if (now_ms < finished->until_ms)
+			continue;
+		cell->options.ops->forget(cell->options.data, finished->id);
+		g_hash_table_iter_remove(&iter);
+	}
 }
--- a/src/node/journal.c
+++ b/src/node/journal.c
@@ -16,13 +16,18 @@
 #define FILL_SHARE 0.6
 /* Prefix of all journals' keys; the cell's name, the segment's number and its writer's token follow. */
 #define JOURNAL_PREFIX "journal/"
+/* Prefix of the keys that say which cell has accepted a job; the job's id follows. */
+#define CLAIM_PREFIX "kept/"
 
 struct waxwing_journal {
 	struct waxwing_journal_options options;
 	char *prefix;
 	GByteArray *out; /* packed segment that is being written; null: none */
 	char *out_key;
+	uint64_t out_number;
 	uint64_t out_upto; /* number of its last record */
+	GPtrArray *out_records; /* Waxwing__JournalRecord that it holds; of a snapshot: none */
+	GPtrArray *out_claims; /* keys of the jobs that it accepts */
 	bool out_snapshot;
 	bool call_out;
 	GPtrArray *gathered; /* Waxwing__JournalRecord */
@@ -66,6 +71,8 @@
 	journal->options.cell = g_strdup(options->cell);
 	journal->prefix = g_strconcat(JOURNAL_PREFIX, options->cell, "/", NULL);
 	journal->gathered = g_ptr_array_new_with_free_func(record_free);
+	journal->out_records = g_ptr_array_new_with_free_func(record_free);
+	journal->out_claims = g_ptr_array_new_with_free_func(g_free);
 	journal->segments = g_ptr_array_new_with_free_func(g_free);
 	journal->removing = g_ptr_array_new_with_free_func(g_free);
 	journal->read = g_ptr_array_new_with_free_func(segment_free);
@@ -81,6 +88,8 @@
 	g_free(journal->out_key);
 	g_free(journal->after_key);
 	g_ptr_array_free(journal->gathered, TRUE);
+	g_ptr_array_free(journal->out_records, TRUE);
+	g_ptr_array_free(journal->out_claims, TRUE);
 	g_ptr_array_free(journal->segments, TRUE);
 	g_ptr_array_free(journal->removing, TRUE);
 	g_ptr_array_free(journal->read, TRUE);
@@ -118,6 +127,16 @@
 	return ++journal->added;
 }
 
+static char *claim_key(uint64_t job)
+{
+	return g_strdup_printf(CLAIM_PREFIX "%016llx", (unsigned long long)job);
+}
+
+void waxwing_journal_forget(struct waxwing_journal *journal, uint64_t job)
+{
+	g_ptr_array_add(journal->removing, claim_key(job));
+}
+
 /* --- reading ---------------------------------------------------------------------------------- */
 
 static void read_segment(struct waxwing_journal *journal, const struct waxwing_store_item *item)
@@ -196,26 +215,42 @@
 	journal->out_key = g_strdup_printf("%s%016llx.%llx", journal->prefix,
 					   (unsigned long long)segment->number,
 					   (unsigned long long)journal->options.fencing_token);
+	journal->out_number = segment->number;
 	journal->out_snapshot = segment->snapshot;
 }
 
+static void pack_records(struct waxwing_journal *journal, uint64_t number)
+{
+	Waxwing__JournalSegment segment = WAXWING__JOURNAL_SEGMENT__INIT;
+
+	segment.number = number;
+	segment.n_records = journal->out_records->len;
+	segment.records = (Waxwing__JournalRecord **)journal->out_records->pdata;
+	pack_segment(journal, &segment);
+	for (guint i = 0; i < journal->out_records->len; i++) {
+		const Waxwing__JournalRecord *record = journal->out_records->pdata[i];
+
+		if (record->job)
+			g_ptr_array_add(journal->out_claims, claim_key(record->job->id));
+	}
+}
+
 /* As many of the gathered records as a segment may hold. */
 static void gather_segment(struct waxwing_journal *journal)
 {
-	Waxwing__JournalSegment segment = WAXWING__JOURNAL_SEGMENT__INIT;
 	size_t bytes = 0;
-	guint count = 0;
-
-	segment.number = journal->next_segment++;
-	while (count < journal->gathered->len &&
-	       bytes < FILL_SHARE * journal->options.value_bytes_most)
-		bytes +=
-			waxwing__journal_record__get_packed_size(journal->gathered->pdata[count++]);
-	segment.n_records = count;
-	segment.records = (Waxwing__JournalRecord **)journal->gathered->pdata;
-	pack_segment(journal, &segment);
-	journal->out_upto = journal->added - journal->gathered->len + count;
-	g_ptr_array_remove_range(journal->gathered, 0, count);
+	guint claims = 0;
+
+	while (journal->gathered->len && claims < WAXWING_STORE_CLAIMS_MOST &&
+	       bytes < FILL_SHARE * journal->options.value_bytes_most) {
+		Waxwing__JournalRecord *record = g_ptr_array_steal_index(journal->gathered, 0);
+
+		bytes += waxwing__journal_record__get_packed_size(record);
+		claims += record->job != NULL;
+		g_ptr_array_add(journal->out_records, record);
+	}
+	pack_records(journal, journal->next_segment++);
+	journal->out_upto = journal->added - journal->gathered->len;
 }
 
 /* When what holds does not fit into one value, the segments stay. */
@@ -245,6 +280,14 @@
 	waxwing__journal_segment__free_unpacked(segment, NULL);
 }
 
+static void unpack_out(struct waxwing_journal *journal)
+{
+	g_byte_array_free(journal->out, TRUE);
+	journal->out = NULL;
+	g_clear_pointer(&journal->out_key, g_free);
+	g_ptr_array_set_size(journal->out_claims, 0);
+}
+
 static void written(struct waxwing_journal *journal)
 {
 	if (journal->out_snapshot) {
@@ -253,8 +296,8 @@
 					g_ptr_array_steal_index(journal->segments, 0));
 	}
 	g_ptr_array_add(journal->segments, g_steal_pointer(&journal->out_key));
-	g_byte_array_free(journal->out, TRUE);
-	journal->out = NULL;
+	unpack_out(journal);
+	g_ptr_array_set_size(journal->out_records, 0);
 	if (journal->removing_now)
 		g_ptr_array_remove_range(journal->removing, 0, journal->removing_now);
 	journal->removing_now = 0;
@@ -272,6 +315,41 @@
 	return 0;
 }
 
+/*
+ * Drops the acceptance of jobs whose id is claimed; false: there is none. No earlier try of the segment can
+ * take effect any more, for it has the same condition.
+ */
+static bool drop_taken(struct waxwing_journal *journal, const struct waxwing_store_answer *answer)
+{
+	guint before = journal->out_records->len;
+
+	for (guint i = before; i-- > 0;) {
+		const Waxwing__JournalRecord *record = journal->out_records->pdata[i];
+		char *key = record->job ? claim_key(record->job->id) : NULL;
+
+		if (key && revision_of(answer, key)) {
+			journal->options.taken(journal->options.data, record->job->id);
+			g_ptr_array_remove_index(journal->out_records, i);
+		}
+		g_free(key);
+	}
+	return journal->out_records->len < before;
+}
+
+/* Goes on with what is left of the segment. */
+static void pack_rest(struct waxwing_journal *journal)
+{
+	unpack_out(journal);
+	journal->next_ms = now(journal);
+	if (journal->out_records->len) {
+		pack_records(journal, journal->out_number);
+		return;
+	}
+	journal->stored = MAX(journal->stored, journal->out_upto);
+	journal->oldest_ms = now(journal);
+	journal->options.stored(journal->options.data, journal->stored);
+}
+
 /*
  * The key stands: an earlier try took effect. The owner's entry is a newer one: another owner's, or this
  * one's that it has not heard of yet. The entry is gone: the owner will claim the cell anew.
@@ -293,6 +371,8 @@
 	journal->next_ms = now(journal) + RETRY_MS;
 	if (guard > journal->options.fencing_token)
 		journal->options.fenced(journal->options.data);
+	else if (guard == journal->options.fencing_token && drop_taken(journal, answer))
+		pack_rest(journal);
 }
 
 static void take_written(struct waxwing_journal *journal, const struct waxwing_store_answer *answer)
@@ -332,13 +412,18 @@
 static void send_segment(struct waxwing_journal *journal)
 {
 	struct waxwing_store *store = journal->options.store;
+	size_t claims = journal->out_claims->len;
+	size_t entries = WAXWING_STORE_APPEND_ENTRIES + WAXWING_STORE_CLAIM_ENTRIES * claims;
 	struct waxwing_store_append append = {
 		.guard_key = journal->options.guard_key,
 		.guard_revision = journal->options.fencing_token,
 		.key = journal->out_key,
 		.value = { journal->out->len, (const char *)journal->out->data },
+		.claims = (const char *const *)journal->out_claims->pdata,
+		.claim_count = claims,
+		.claim_value = journal->options.cell,
 		.removes = (const char *const *)journal->removing->pdata,
-		.remove_count = MIN(journal->removing->len, WAXWING_STORE_REMOVES_MOST),
+		.remove_count = MIN(journal->removing->len, WAXWING_STORE_ENTRIES_MOST - entries),
 	};
 
 	journal->removing_now = (uint32_t)append.remove_count;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -27,7 +27,8 @@
 	struct waxwing_executors *executors;
 	const char *name;
 	const char *zone; /**< failure domain of this node */
-	const char *const *zones; /**< all failure domains, null-terminated; each has a cell */
+	/** All failure domains, null-terminated, at most WAXWING_NODE_ZONES_MOST; each has a cell. */
+	const char *const *zones;
 	const char *address; /**< IP:port for messages of other nodes */
 	double cpu_share; /**< cores of this node: those with more of them claim cells first */
 	uint32_t lease_most_ms; /**< longest lease that executors give */
@@ -74,6 +75,9 @@
 struct waxwing_node *waxwing_node_create(const struct waxwing_node_options *options);
 void waxwing_node_destroy(struct waxwing_node *node);
 
+/** Failure domains that a node can tell apart; the users' largest target has 11. */
+#define WAXWING_NODE_ZONES_MOST 32
+
 /** Time between two calls of waxwing_node_run(). */
 #define WAXWING_NODE_TICK_MS 10
 
--- a/src/node/node_asks.c
+++ b/src/node/node_asks.c
@@ -7,23 +7,27 @@
 /* A question without an answer is sent again after this. */
 #define ASK_AGAIN_MS 120
 
-/* A caller's question that is out. */
+/* A caller's question that is out: to the owners of all cells, for any may have accepted the job. */
 struct asking {
 	struct waxwing_ask_ticket *ticket;
-	struct node_cell *cell;
+	uint32_t without; /* bits of the cells, by index, that have no such job */
 	int64_t began_ms;
-	int64_t sent_ms; /* 0: not yet */
+	int64_t sent_ms;
 };
 
-static void send_ask(struct asking *asking, int64_t now_ms)
+/* What an owner has told, kept until the cells have done their work. */
+struct told_copy {
+	struct node_cell *at;
+	Waxwing__JobTold told;
+};
+
+static void ask_cell(const struct asking *asking, struct node_cell *at, int64_t now_ms)
 {
-	struct node_cell *at = asking->cell;
 	Waxwing__NodeMessage message = WAXWING__NODE_MESSAGE__INIT;
 	Waxwing__JobAsk ask = WAXWING__JOB_ASK__INIT;
 
-	if (!node_cell_reachable(at, now_ms))
+	if (asking->without & node_cell_bit(at) || !node_cell_reachable(at, now_ms))
 		return;
-	asking->sent_ms = now_ms;
 	ask.job = asking->ticket->job;
 	ask.cancel = asking->ticket->cancel;
 	if (at->cell) {
@@ -35,16 +39,22 @@
 	node_send(at, &message);
 }
 
+static void send_ask(struct waxwing_node *node, struct asking *asking, int64_t now_ms)
+{
+	asking->sent_ms = now_ms;
+	for (guint i = 0; i < node->cells->len; i++)
+		ask_cell(asking, node->cells->pdata[i], now_ms);
+}
+
 void waxwing_node_ask(struct waxwing_node *node, struct waxwing_ask_ticket *ticket)
 {
 	struct asking *asking = g_new0(struct asking, 1);
 	int64_t now_ms = node_now(node);
 
 	asking->ticket = ticket;
-	asking->cell = node_home_cell(node, ticket->job);
 	asking->began_ms = now_ms;
 	g_ptr_array_add(node->asks, asking);
-	send_ask(asking, now_ms);
+	send_ask(node, asking, now_ms);
 }
 
 void waxwing_node_stop_asking(struct waxwing_node *node, struct waxwing_ask_ticket *ticket)
@@ -57,8 +67,9 @@
 	}
 }
 
-static void answer(struct waxwing_node *node, guint index, bool answered,
-		   enum waxwing_job_state state)
+/* @cell: whose owner knows the job; null: none does, or could say. */
+static void answer(struct waxwing_node *node, guint index, const struct node_cell *cell,
+		   bool answered, enum waxwing_job_state state)
 {
 	struct asking *asking = node->asks->pdata[index];
 	struct waxwing_ask_ticket *ticket = asking->ticket;
@@ -66,8 +77,8 @@
 	waxwing_event("ask_answered",
 		      "job=%016llx cell=%s cancel=%d answered=%d state=%d "
 		      "age_ms=%lld",
-		      (unsigned long long)ticket->job, asking->cell->name, ticket->cancel, answered,
-		      state, (long long)(node_now(node) - asking->began_ms));
+		      (unsigned long long)ticket->job, cell ? cell->name : "none", ticket->cancel,
+		      answered, state, (long long)(node_now(node) - asking->began_ms));
 	g_ptr_array_remove_index_fast(node->asks, index);
 	ticket->answer(ticket, answered, state);
 }
@@ -78,24 +89,45 @@
 		struct asking *asking = node->asks->pdata[i];
 
 		if (now_ms - asking->began_ms >= asking->ticket->patience_ms)
-			answer(node, i, false, WAXWING_STATE_NONE);
+			answer(node, i, NULL, false, WAXWING_STATE_NONE);
 		else if (now_ms - asking->sent_ms >= ASK_AGAIN_MS)
-			send_ask(asking, now_ms);
+			send_ask(node, asking, now_ms);
 	}
 }
 
-void node_asks_told(struct waxwing_node *node, const Waxwing__JobTold *told)
+void node_asks_told(struct node_cell *at, const Waxwing__JobTold *told)
 {
-	g_ptr_array_add(node->tolds, g_memdup2(told, sizeof(*told)));
+	struct told_copy *copy = g_new0(struct told_copy, 1);
+
+	copy->at = at;
+	copy->told = *told;
+	g_ptr_array_add(at->node->tolds, copy);
+}
+
+static bool no_cell_has_it(const struct waxwing_node *node, const struct asking *asking)
+{
+	for (guint i = 0; i < node->cells->len; i++)
+		if (!(asking->without & node_cell_bit(node->cells->pdata[i])))
+			return false;
+	return true;
 }
 
-static void take_told(struct waxwing_node *node, const Waxwing__JobTold *told)
+static void take_told(struct waxwing_node *node, const struct told_copy *copy)
 {
+	enum waxwing_job_state state = (enum waxwing_job_state)copy->told.state;
+
 	for (guint i = node->asks->len; i-- > 0;) {
-		const struct asking *asking = node->asks->pdata[i];
+		struct asking *asking = node->asks->pdata[i];
 
-		if (asking->ticket->job == told->job && asking->ticket->cancel == told->cancel)
-			answer(node, i, true, (enum waxwing_job_state)told->state);
+		if (asking->ticket->job != copy->told.job ||
+		    asking->ticket->cancel != copy->told.cancel)
+			continue;
+		if (state == WAXWING_STATE_NONE)
+			asking->without |= node_cell_bit(copy->at);
+		if (state != WAXWING_STATE_NONE)
+			answer(node, i, copy->at, true, state);
+		else if (no_cell_has_it(node, asking))
+			answer(node, i, NULL, true, state);
 	}
 }
 
--- a/src/node/node_cells.c
+++ b/src/node/node_cells.c
@@ -70,6 +70,7 @@
 		};
 
 		at->node = node;
+		at->index = (uint32_t)i;
 		at->name = g_strdup(node->options.zones[i]);
 		at->claim = waxwing_claim_create(&options);
 		at->claim_key = waxwing_claim_key(at->name);
@@ -179,6 +180,7 @@
 	waxwing_cell_view(at->cell, now_ms, &view);
 	at->free_milli = view.free_milli;
 	at->wait_ms = view.wait_ms;
+	at->keeps_none = node_owner_keeps_none(at);
 }
 
 void node_cells_run(struct waxwing_node *node, int64_t now_ms)
@@ -211,6 +213,7 @@
 	note_orders(at, now_ms);
 	at->free_milli = pong->free_milli;
 	at->wait_ms = pong->wait_ms;
+	at->keeps_none = pong->keeps_none;
 	g_hash_table_remove_all(at->waiting);
 	for (size_t i = 0; i < pong->n_waiting; i++)
 		g_hash_table_insert(at->waiting, g_strdup(pong->waiting[i]->queue),
@@ -241,7 +244,7 @@
 	if (message->has_accepted)
 		node_jobs_accepted(at, message->accepted);
 	if (message->told)
-		node_asks_told(at->node, message->told);
+		node_asks_told(at, message->told);
 	if (message->verdict)
 		node_jobs_verdict(at, message->verdict);
 }
--- a/src/node/node_jobs.c
+++ b/src/node/node_jobs.c
@@ -10,6 +10,8 @@
 #define OFFER_AGAIN_MS 120
 /* The same of a job that must be kept: its owner may be reading the journal, and says nothing then. */
 #define KEPT_AGAIN_MS 250
+/* Such an offer goes to another cell when the owner has said since then that it accepts none. */
+#define KEPT_MOVES_MS 100
 /* An accepted job's verdict may have been lost: the offer, sent again, has it repeated. */
 #define VERDICT_AGAIN_MS 1000
 /* A job for which no cell can be reached is refused after this. */
@@ -22,9 +24,6 @@
 /* Share of its run time that a job is expected to be held up by room that is lacking. */
 #define LACK_COST 0.5
 
-/* Spreads jobs' ids over cells, whatever ids callers choose: 2^64 over the golden ratio. */
-#define HOME_MULTIPLIER 0x9e3779b97f4a7c15ULL
-
 /* A verdict, kept until the cells have done their work. */
 struct verdict_copy {
 	struct node_cell *at;
@@ -61,8 +60,9 @@
 	return cost;
 }
 
+/* The cell that will do the job soonest, but for those of the bits @but; null: none can be reached. */
 static struct node_cell *choose_cell(struct waxwing_node *node, const Waxwing__Job *job,
-				     const struct node_cell *but, int64_t now_ms)
+				     uint32_t but, int64_t now_ms)
 {
 	struct node_cell *best = NULL;
 	double best_cost = 0;
@@ -71,7 +71,8 @@
 		struct node_cell *at = node->cells->pdata[i];
 		double cost;
 
-		if (at == but || !node_cell_reachable(at, now_ms))
+		if (but & node_cell_bit(at) || !node_cell_reachable(at, now_ms) ||
+		    (job->kept && at->keeps_none))
 			continue;
 		cost = cell_cost(at, job);
 		if (!best || cost < best_cost) {
@@ -100,8 +101,9 @@
 	pending->offered_ms = now_ms;
 	fields.job = pending->job;
 	fields.age_ms = (uint32_t)(now_ms - pending->arrived_ms);
-	fields.has_running_before = pending->offered_before;
-	fields.running_before = pending->offered_before;
+	/* a job that must be kept was not started if the journal does not have it */
+	fields.has_running_before = true;
+	fields.running_before = pending->offered_before && !pending->job->kept;
 	waxwing_event("job_offered",
 		      "job=%016llx queue=%s cell=%s token=%llu again=%d age_ms=%u wait_ms=%u "
 		      "free_milli=%u news_age_ms=%lld",
@@ -167,20 +169,9 @@
 	node_pending_free(pending);
 }
 
-/* Every node finds a kept job where it was stored. */
-struct node_cell *node_home_cell(const struct waxwing_node *node, uint64_t job)
-{
-	return node->cells->pdata[(job * HOME_MULTIPLIER >> 32) % node->cells->len];
-}
-
 static void offer_somewhere(struct waxwing_node *node, struct pending *pending, int64_t now_ms)
 {
-	struct node_cell *home = node_home_cell(node, pending->id);
-
-	if (!pending->job->kept)
-		pending->cell = choose_cell(node, pending->job, NULL, now_ms);
-	else
-		pending->cell = node_cell_reachable(home, now_ms) ? home : NULL;
+	pending->cell = choose_cell(node, pending->job, 0, now_ms);
 	if (!pending->cell)
 		return;
 	pending->accepted = false;
@@ -247,18 +238,32 @@
 	g_ptr_array_add(at->node->verdicts, copy);
 }
 
-/* A refusal for load is true of one cell only. */
-static bool try_other_cell(struct waxwing_node *node, struct pending *pending, int64_t now_ms)
+/*
+ * A refusal for load is true of one cell only. A job that must be kept is offered to all: it may have been sent
+ * before, and the cell that has accepted it says so.
+ */
+static struct node_cell *other_cell(struct waxwing_node *node, struct pending *pending,
+				    int64_t now_ms)
 {
 	struct node_cell *other;
 
-	if (pending->refused_once || pending->job->kept)
-		return false;
-	other = choose_cell(node, pending->job, pending->cell, now_ms);
-	if (!other || cell_cost(other, pending->job) + OTHER_CELL_GAIN_MS >
-			      cell_cost(pending->cell, pending->job))
-		return false;
+	pending->refusals |= node_cell_bit(pending->cell);
+	other = choose_cell(node, pending->job, pending->refusals, now_ms);
+	if (!other || pending->job->kept)
+		return other;
+	if (pending->refused_once || cell_cost(other, pending->job) + OTHER_CELL_GAIN_MS >
+					     cell_cost(pending->cell, pending->job))
+		return NULL;
 	pending->refused_once = true;
+	return other;
+}
+
+static bool try_other_cell(struct waxwing_node *node, struct pending *pending, int64_t now_ms)
+{
+	struct node_cell *other = other_cell(node, pending, now_ms);
+
+	if (!other)
+		return false;
 	pending->cell = other;
 	pending->accepted = false;
 	pending->offered_before = false;
@@ -277,12 +282,15 @@
 		.retry_after_ms = verdict->retry_after_ms,
 	};
 
-	if (!pending || pending->cell != copy->at)
+	/* a job that must be kept may have been offered to other cells before */
+	if (!pending || (pending->cell != copy->at && told.outcome != WAXWING_JOB_STORED))
 		return;
 	if (told.outcome == WAXWING_JOB_REFUSED) {
+		bool kept = pending->job->kept;
+
 		/* an owner knows whether a former one has stored a job that must be kept */
-		told.may_have_run = pending->may_have_run && !pending->job->kept;
-		if (!told.may_have_run && try_other_cell(node, pending, node_now(node)))
+		told.may_have_run = kept ? pending->may_be_stored : pending->may_have_run;
+		if ((kept || !told.may_have_run) && try_other_cell(node, pending, node_now(node)))
 			return;
 	}
 	if (told.outcome == WAXWING_JOB_GIVEN_UP)
@@ -315,10 +323,11 @@
 	answer(node, pending, &told);
 }
 
-/* The owner is silent, and no other has come: the job goes where it can run. */
+/* The owner is silent, and no other has come: the job goes where it can run, or be kept. */
 static void move(struct waxwing_node *node, struct pending *pending, int64_t now_ms)
 {
-	struct node_cell *to = choose_cell(node, pending->job, pending->cell, now_ms);
+	struct node_cell *to = choose_cell(
+		node, pending->job, pending->refusals | node_cell_bit(pending->cell), now_ms);
 
 	if (!to)
 		return;
@@ -329,9 +338,28 @@
 	pending->accepted = false;
 	pending->offered_before = false;
 	pending->may_have_run = true;
+	pending->may_be_stored = true;
 	offer(pending, now_ms);
 }
 
+/* Its id is claimed in the store: whichever cells it was offered to, one of them accepts it. */
+static bool should_move_kept(const struct pending *pending, bool reachable, int64_t now_ms)
+{
+	return !reachable ||
+	       (pending->cell->keeps_none && now_ms - pending->offered_ms >= KEPT_MOVES_MS);
+}
+
+static void follow_kept(struct waxwing_node *node, struct pending *pending, int64_t now_ms)
+{
+	bool reachable = node_cell_reachable(pending->cell, now_ms);
+
+	if (should_move_kept(pending, reachable, now_ms))
+		move(node, pending, now_ms);
+	if (node_cell_reachable(pending->cell, now_ms) &&
+	    now_ms - pending->offered_ms >= KEPT_AGAIN_MS)
+		offer(pending, now_ms);
+}
+
 static void follow(struct waxwing_node *node, struct pending *pending, int64_t now_ms)
 {
 	struct node_cell *at = pending->cell;
@@ -343,15 +371,14 @@
 		pending->may_have_run = true;
 		pending->accepted = false;
 		offer(pending, now_ms);
-	} else if (reachable && pending->job->kept &&
-		   now_ms - pending->offered_ms >= KEPT_AGAIN_MS) {
-		offer(pending, now_ms);
+	} else if (pending->job->kept) {
+		follow_kept(node, pending, now_ms);
 	} else if (reachable && !at->cell && !pending->accepted &&
 		   now_ms - pending->offered_ms >= OFFER_AGAIN_MS) {
 		offer(pending, now_ms);
 	} else if (reachable && !at->cell && now_ms - pending->offered_ms >= VERDICT_AGAIN_MS) {
 		offer(pending, now_ms);
-	} else if (!reachable && now_ms >= at->orders_until_ms && !pending->job->kept) {
+	} else if (!reachable && now_ms >= at->orders_until_ms) {
 		move(node, pending, now_ms);
 	}
 }
--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -157,6 +157,13 @@
 	send_answer(at, issuer, &message);
 }
 
+static void forget_job(void *data, uint64_t job)
+{
+	struct node_cell *at = data;
+
+	waxwing_journal_forget(at->journal, job);
+}
+
 static uint64_t add_record(void *data, const Waxwing__JournalRecord *record)
 {
 	struct node_cell *at = data;
@@ -173,7 +180,7 @@
 	if (told->state == WAXWING_STATE_NONE && !waxwing_claim_is_sure(at->claim))
 		return;
 	if (asker == WAXWING_ISSUER_SELF) {
-		node_asks_told(at->node, told);
+		node_asks_told(at, told);
 		return;
 	}
 	message.told = (Waxwing__JobTold *)told;
@@ -199,6 +206,7 @@
 	.hold = order_hold,
 	.verdict = give_verdict,
 	.record = add_record,
+	.forget = forget_job,
 	.told = tell_state,
 	.fenced = note_fenced,
 };
@@ -226,6 +234,13 @@
 	at->node->touched = true;
 }
 
+static void journal_taken(void *data, uint64_t job)
+{
+	struct node_cell *at = data;
+
+	waxwing_cell_taken(at->cell, node_now(at->node), job);
+}
+
 static void journal_fenced(void *data)
 {
 	note_fenced(data, "journal");
@@ -250,6 +265,7 @@
 		.replay = journal_replay,
 		.recovered = journal_recovered,
 		.stored = journal_stored,
+		.taken = journal_taken,
 		.fenced = journal_fenced,
 		.snapshot = journal_snapshot,
 		.data = at,
@@ -443,7 +459,13 @@
 		waxwing_claim_fenced(at->claim);
 }
 
-/* The store takes no records now: the job is known not to be accepted. */
+bool node_owner_keeps_none(const struct node_cell *at)
+{
+	return waxwing_cell_recovering(at->cell) ||
+	       waxwing_journal_delay_ms(at->journal) >= JOURNAL_STUCK_MS;
+}
+
+/* The store takes no records now: the job is known not to be accepted here. */
 static bool refuse_unkept(struct node_cell *at, uint64_t sender, Waxwing__JobOffer *offer)
 {
 	Waxwing__JobVerdict verdict = WAXWING__JOB_VERDICT__INIT;
@@ -531,6 +553,8 @@
 	pong.owner_ms = (uint64_t)now_ms;
 	pong.free_milli = view.free_milli;
 	pong.wait_ms = view.wait_ms;
+	pong.has_keeps_none = true;
+	pong.keeps_none = node_owner_keeps_none(at);
 	pong.n_waiting = waiting->len;
 	pong.waiting = (Waxwing__QueueWaiting **)waiting->pdata;
 	pong.n_owners = news->len;
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -20,6 +20,7 @@
 /* A cell, as this node sees it. */
 struct node_cell {
 	struct waxwing_node *node;
+	uint32_t index; /* among the node's cells */
 	char *name; /* the failure domain's */
 	struct waxwing_claim *claim;
 	/* as its owner tells */
@@ -31,6 +32,7 @@
 	int64_t orders_until_ms; /* former orders for this node's jobs may have their effect until then */
 	uint32_t free_milli;
 	uint32_t wait_ms;
+	bool keeps_none; /* it accepts no jobs that must be kept */
 	GHashTable *waiting; /* queue -> jobs */
 	/* as its owner */
 	struct waxwing_cell *cell; /* null: not the owner */
@@ -62,6 +64,9 @@
 	bool offered_before; /* an earlier owner of the cell may have started it */
 	bool may_have_run; /* an owner that has not answered for it had it */
 	bool refused_once; /* one cell has refused it */
+	uint32_t
+		refusals; /* bits of the cells, by index, that have refused a job that must be kept */
+	bool may_be_stored; /* a cell whose verdict has not come may store it yet */
 };
 
 struct waxwing_node {
@@ -75,7 +80,7 @@
 	GPtrArray *cells; /* struct node_cell */
 	GHashTable *pendings; /* id -> pending */
 	GPtrArray *asks; /* struct asking */
-	GPtrArray *tolds; /* Waxwing__JobTold: to be told once the cells have done their work */
+	GPtrArray *tolds; /* struct told_copy: to be told once the cells have done their work */
 	GHashTable
 		*entries; /* key -> struct waxwing_store_item: the executors, to tell new cells */
 	uint64_t incarnation;
@@ -112,6 +117,7 @@
 void node_owner_run(struct node_cell *at, int64_t now_ms);
 void node_owner_offer(struct node_cell *at, uint64_t sender, Waxwing__JobOffer *offer);
 void node_owner_message(struct node_cell *at, uint64_t sender, Waxwing__NodeMessage *message);
+bool node_owner_keeps_none(const struct node_cell *at);
 void node_entry_free(gpointer value);
 void node_executors_changed(struct waxwing_node *node, const struct waxwing_store_item *item);
 
@@ -121,13 +127,18 @@
 void node_jobs_tell(struct waxwing_node *node);
 void node_jobs_accepted(struct node_cell *at, uint64_t job);
 void node_pending_free(gpointer value);
-struct node_cell *node_home_cell(const struct waxwing_node *node, uint64_t job);
 
 /* node_asks.c */
 void node_asks_run(struct waxwing_node *node, int64_t now_ms);
-void node_asks_told(struct waxwing_node *node, const Waxwing__JobTold *told);
+void node_asks_told(struct node_cell *at, const Waxwing__JobTold *told);
 void node_asks_tell(struct waxwing_node *node);
 
+/* Stands for a cell in a set of cells. */
+static inline uint32_t node_cell_bit(const struct node_cell *at)
+{
+	return 1U << at->index;
+}
+
 static inline int64_t node_now(const struct waxwing_node *node)
 {
 	return waxwing_clock_now(node->clock);
--- a/src/node/store.h
+++ b/src/node/store.h
@@ -57,18 +57,33 @@
 	uint64_t lease; /**< 0: none */
 };
 
-/** Puts a new key under the condition that another one still stands, and removes old ones. */
+/**
+ * Puts new keys under the condition that another one still stands, and removes old ones: all of it, or
+ * nothing. At most WAXWING_STORE_ENTRIES_MOST entries, with WAXWING_STORE_APPEND_ENTRIES for its own key and
+ * guard, WAXWING_STORE_CLAIM_ENTRIES for each claim and one for each key that is removed.
+ */
 struct waxwing_store_append {
 	const char *guard_key;
 	uint64_t guard_revision;
 	const char *key; /**< must not exist yet */
 	struct waxwing_str value;
+	const char *const *claims; /**< keys that must not exist yet, put with @claim_value */
+	size_t claim_count;
+	const char *claim_value;
 	const char *const *removes;
-	size_t remove_count; /**< at most WAXWING_STORE_REMOVES_MOST */
+	size_t remove_count;
 };
 
-/** Keys that one append may remove: the store takes 32 entries in all. */
-#define WAXWING_STORE_REMOVES_MOST 28
+/** What the store takes in one transaction: conditions, puts and removals together. By the users' pages. */
+#define WAXWING_STORE_ENTRIES_MOST 32
+/** The guard's condition, the new key's, and its put. */
+#define WAXWING_STORE_APPEND_ENTRIES 3
+/** The claimed key's condition and its put. */
+#define WAXWING_STORE_CLAIM_ENTRIES 2
+/** Claims in one append that still has an entry left for a removal. */
+#define WAXWING_STORE_CLAIMS_MOST                                                                  \
+	((WAXWING_STORE_ENTRIES_MOST - WAXWING_STORE_APPEND_ENTRIES - 1) /                         \
+	 WAXWING_STORE_CLAIM_ENTRIES)
 
 struct waxwing_store_ops {
 	void (*range)(struct waxwing_store *store, const char *prefix, const char *after_key,
@@ -77,7 +92,7 @@
 		      uint32_t wait_ms, struct waxwing_store_reply reply);
 	void (*change)(struct waxwing_store *store, const struct waxwing_store_change *change,
 		       struct waxwing_store_reply reply);
-	/** After a conflict, the answer's items show the guard and the key as they stand. */
+	/** After a conflict, the answer's items show the guard, the key and the claims as they stand. */
 	void (*append)(struct waxwing_store *store, const struct waxwing_store_append *append,
 		       struct waxwing_store_reply reply);
 	void (*lease)(struct waxwing_store *store, uint32_t ttl_ms,
--- a/test/cell_fixture.h
+++ b/test/cell_fixture.h
@@ -23,6 +23,7 @@
 	uint64_t acked_upto;
 	uint32_t fenced;
 	uint64_t recorded;
+	uint32_t forgotten; /* jobs whose state is told no more */
 	GArray *tolds; /* enum waxwing_job_state */
 };
 
@@ -86,6 +87,12 @@
 	return ++((struct recorder *)data)->recorded;
 }
 
+static void record_forget(void *data, uint64_t job)
+{
+	(void)job;
+	((struct recorder *)data)->forgotten++;
+}
+
 static void record_told(void *data, uint64_t asker, const Waxwing__JobTold *told)
 {
 	(void)asker;
@@ -104,6 +111,7 @@
 	.hold = record_hold,
 	.verdict = record_verdict,
 	.record = count_record,
+	.forget = record_forget,
 	.told = record_told,
 	.fenced = record_fenced,
 };
--- a/test/node_world_nodes.h
+++ b/test/node_world_nodes.h
@@ -291,7 +291,8 @@
 		int index = g_rand_int_range(world->random, 0, NODES);
 		struct world_node *at = &world->nodes[index];
 
-		if (!at->node || at->frozen_until_ms > world_now(world))
+		if (!at->node || at->frozen_until_ms > world_now(world) ||
+		    world->zone_shunned[at->zone])
 			continue;
 		job->node = index;
 		job->tries++;
@@ -331,7 +332,7 @@
 
 	if (job->state != CLIENT_STORED || job->asking)
 		return;
-	if (!at->node || at->frozen_until_ms > world_now(world)) {
+	if (!at->node || at->frozen_until_ms > world_now(world) || world->zone_shunned[at->zone]) {
 		world_later(world, ASK_MS, client_asks, job);
 		return;
 	}
--- a/test/node_world_store.h
+++ b/test/node_world_store.h
@@ -28,6 +28,8 @@
 	uint32_t wait_ms;
 	bool unanswered;
 	char *guard_key;
+	char **claims;
+	char *claim_value;
 	char **removes;
 	struct waxwing_store_answer answer;
 	GArray *items; /* struct waxwing_store_item, with copies */
@@ -53,6 +55,8 @@
 	g_free(call->key);
 	g_free(call->value);
 	g_free(call->guard_key);
+	g_strfreev(call->claims);
+	g_free(call->claim_value);
 	g_strfreev(call->removes);
 	g_free(call);
 }
@@ -235,19 +239,35 @@
 		add_item(call->items, key, entry->value, entry->len, entry->revision, false);
 }
 
-static void store_append(struct world *world, struct store_call *call)
+static bool append_conflicts(struct world *world, const struct store_call *call)
 {
 	struct store_entry *guard = g_hash_table_lookup(world->entries, call->guard_key);
+	bool conflicts = (guard ? guard->revision : 0) != call->number ||
+			 g_hash_table_contains(world->entries, call->key);
+
+	for (char **key = call->claims; *key; key++)
+		conflicts |= g_hash_table_contains(world->entries, *key);
+	return conflicts;
+}
 
-	if ((guard ? guard->revision : 0) != call->number ||
-	    g_hash_table_contains(world->entries, call->key)) {
+static void store_append(struct world *world, struct store_call *call)
+{
+	g_assert_cmpuint(WAXWING_STORE_APPEND_ENTRIES +
+				 WAXWING_STORE_CLAIM_ENTRIES * g_strv_length(call->claims) +
+				 g_strv_length(call->removes),
+			 <=, WAXWING_STORE_ENTRIES_MOST);
+	if (append_conflicts(world, call)) {
 		show_entry(world, call, call->guard_key);
 		show_entry(world, call, call->key);
+		for (char **key = call->claims; *key; key++)
+			show_entry(world, call, *key);
 		store_answer(call, WAXWING_STORE_CONFLICT);
 		return;
 	}
 	call->unanswered = call->unanswered || world_chance(world, world->store_lost_share);
 	store_put(world, call->key, call->value, call->len, 0);
+	for (char **key = call->claims; *key; key++)
+		store_put(world, *key, call->claim_value, strlen(call->claim_value), 0);
 	for (char **key = call->removes; *key; key++)
 		store_remove(world, *key);
 	call->answer.revision = world->revision;
@@ -421,6 +441,10 @@
 	call->key = g_strdup(append->key);
 	call->value = g_memdup2(append->value.data, append->value.len);
 	call->len = append->value.len;
+	call->claims = g_new0(char *, append->claim_count + 1);
+	for (size_t i = 0; i < append->claim_count; i++)
+		call->claims[i] = g_strdup(append->claims[i]);
+	call->claim_value = g_strdup(append->claim_value);
 	call->removes = g_new0(char *, append->remove_count + 1);
 	for (size_t i = 0; i < append->remove_count; i++)
 		call->removes[i] = g_strdup(append->removes[i]);
--- a/test/node_world_types.h
+++ b/test/node_world_types.h
@@ -152,6 +152,7 @@
 	uint32_t work_most_ms; /* of a task */
 	double late_share; /* of orders: not answered, and carried out seconds later */
 	bool zone_cut[ZONES]; /* from the other failure domains and the store */
+	bool zone_shunned[ZONES]; /* callers do not come to its nodes */
 	struct world_node nodes[NODES];
 	struct world_executor executors[EXECUTORS];
 	GHashTable *jobs; /* id -> client_job */
--- a/test/test_cell_models.c
+++ b/test/test_cell_models.c
@@ -429,6 +429,21 @@
 	tear_down(&fixture);
 }
 
+/* An ended job's id is free again only when its state need not be told any more. */
+static void test_forgets_ended(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture, false);
+	end_kept_job(&fixture);
+	waxwing_cell_stored(fixture.cell, fixture.now_ms, fixture.recorder.recorded);
+	run(&fixture, 119000);
+	g_assert_cmpuint(fixture.recorder.forgotten, ==, 0);
+	run(&fixture, 2000);
+	g_assert_cmpuint(fixture.recorder.forgotten, ==, 1);
+	tear_down(&fixture);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -447,5 +462,6 @@
 	g_test_add_func("/cell/gangs_contend", test_gangs_contend);
 	g_test_add_func("/cell/refuses_hopeless_kept", test_refuses_hopeless_kept);
 	g_test_add_func("/cell/kept_backlog", test_kept_backlog);
+	g_test_add_func("/cell/forgets_ended", test_forgets_ended);
 	return g_test_run();
 }
--- a/test/test_node_faults.c
+++ b/test/test_node_faults.c
@@ -577,6 +577,91 @@
 	freeze_owners(1);
 }
 
+/*
+ * A failure domain is cut off: callers at the others' nodes have all their jobs kept and run there (a copy of
+ * luachung-sched with kept jobs, trouble-2: 13% refused while executors were idle).
+ */
+static void test_kept_zone_cut(void)
+{
+	struct world *world = begin(5);
+
+	world->kept_share = 1;
+	world->work_most_ms = 100; /* two cells can do it all */
+	serve(world, 1000);
+	world->zone_shunned[0] = true;
+	world_run(world, 1000);
+	world->zone_cut[0] = true;
+	serve(world, 5000);
+	g_assert_cmpuint(world_count(world, CLIENT_REFUSED), ==, 0);
+	g_assert_cmpuint(world_count(world, CLIENT_LEFT), ==, 0);
+	g_assert_cmpfloat(served_share(world), >, 0.9);
+	world->zone_cut[0] = false;
+	assert_all_answered(world);
+	world_destroy(world);
+}
+
+/* A second submission of a job, at another node. */
+struct again {
+	struct waxwing_ticket ticket; /* first */
+	enum waxwing_job_outcome outcome;
+	bool answered;
+};
+
+static void again_answered(struct waxwing_ticket *ticket, const struct waxwing_node_answer *answer)
+{
+	struct again *again = (struct again *)ticket;
+
+	again->answered = true;
+	again->outcome = answer->outcome;
+}
+
+/* A job that is handed in at two nodes, whose own cells both have room, is accepted by one of them. */
+static void test_kept_offered_twice(void)
+{
+	for (uint32_t seed = 1; seed <= 40; seed++) {
+		struct world *world = begin(seed);
+		struct client_job *job;
+		struct again again = { .ticket.answer = again_answered };
+		struct world_node *other;
+
+		world->kept_share = 1;
+		world->store_lost_share = seed % 2 ? 0.3 : 0;
+		client_arrives(world);
+		job = g_hash_table_lookup(world->jobs, &world->next_job);
+		world_run(world, seed % 8);
+		other = &world->nodes[(job->node + 1) % NODES];
+		waxwing_node_submit(other->node, make_job(job), &again.ticket);
+		waxwing_node_settle(other->node);
+		world_run(world, 1500);
+		world->store_lost_share = 0;
+		assert_all_answered(world);
+		g_assert_true(again.answered);
+		g_assert_cmpint(again.outcome, ==, WAXWING_JOB_STORED);
+		g_assert_cmpuint(world->starts, ==, job->tasks);
+		world_destroy(world);
+	}
+}
+
+/* A job that another cell has accepted is confirmed, and not run a second time. */
+static void test_kept_taken(void)
+{
+	struct world *world = begin(6);
+	struct client_job *job;
+
+	world->kept_share = 1;
+	store_put(world, "kept/0000000000000001", "z1", 2, 0);
+	client_arrives(world);
+	client_arrives(world);
+	world_run(world, 200);
+	job = g_hash_table_lookup(world->jobs, &(uint64_t){ 1 });
+	g_assert_cmpint(job->state, ==, CLIENT_STORED);
+	g_assert_false(job->started);
+	job->state = CLIENT_LEFT; /* its end is not known here */
+	assert_all_answered(world);
+	g_assert_cmpuint(world_count(world, CLIENT_SERVED), ==, 1);
+	world_destroy(world);
+}
+
 static uint32_t seed_or(const char *variable, uint32_t otherwise)
 {
 	const char *text = g_getenv(variable);
@@ -634,6 +719,9 @@
 	g_test_add_func("/node/kept_former_owner_writes", test_kept_former_owner_writes);
 	g_test_add_func("/node/kept_leave", test_kept_leave);
 	g_test_add_func("/node/kept_owner_frozen", test_kept_owner_frozen);
+	g_test_add_func("/node/kept_zone_cut", test_kept_zone_cut);
+	g_test_add_func("/node/kept_offered_twice", test_kept_offered_twice);
+	g_test_add_func("/node/kept_taken", test_kept_taken);
 	g_test_add_func("/node/mix", test_mix);
 	return g_test_run();
 }
