--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -27,7 +27,7 @@
 	cell->options.name = g_strdup(options->name);
 	cell->created_ms = now_ms;
 	cell->next_life = 1;
-	cell->jobs = g_hash_table_new(g_int64_hash, g_int64_equal);
+	cell->jobs = g_hash_table_new(job_key_hash, job_key_equal);
 	cell->ready = g_sequence_new(NULL);
 	cell->executors = g_hash_table_new(g_str_hash, g_str_equal);
 	cell->lives = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -41,7 +41,7 @@
 
 void waxwing_cell_destroy(struct waxwing_cell *cell)
 {
-	GList *jobs;
+	GPtrArray *jobs;
 
 	if (!cell)
 		return;
@@ -52,10 +52,10 @@
 			g_free(executor->runs->pdata[k]);
 		executor_free(executor);
 	}
-	jobs = g_hash_table_get_values(cell->jobs);
-	for (GList *at = jobs; at; at = at->next)
-		job_free(cell, at->data);
-	g_list_free(jobs);
+	jobs = cell_whole_jobs(cell);
+	for (guint i = 0; i < jobs->len; i++)
+		job_free(cell, jobs->pdata[i]);
+	g_ptr_array_free(jobs, TRUE);
 	g_hash_table_destroy(cell->jobs);
 	g_sequence_free(cell->ready);
 	g_hash_table_destroy(cell->executors);
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -202,6 +202,9 @@
 /** Goes on under a new, higher token: the same owner has claimed the cell anew. */
 void waxwing_cell_set_token(struct waxwing_cell *cell, uint64_t fencing_token);
 
+/** Jobs at set times go by the time of day: it less the caller's clock, in milliseconds. */
+void waxwing_cell_set_day(struct waxwing_cell *cell, int64_t day_offset_ms);
+
 /** All executors that the former owner could have known are known here too. */
 void waxwing_cell_list_is_complete(struct waxwing_cell *cell);
 
--- a/src/cell/cell_hold.c
+++ b/src/cell/cell_hold.c
@@ -74,20 +74,11 @@
 	}
 }
 
-static struct cell_job *find_job(struct waxwing_cell *cell, const struct waxwing_run_name *name)
-{
-	struct cell_job *job = g_hash_table_lookup(cell->jobs, &name->job);
-
-	if (!job || name->occurrence != 0 || !job_has_task(job, name->step, name->index))
-		return NULL;
-	return job;
-}
-
 static void take_ended(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms,
 		       const struct waxwing_ended_row *row)
 {
 	struct cell_run *run = run_find(executor, &row->name);
-	struct cell_job *job = find_job(cell, &row->name);
+	struct cell_job *job = cell_find_run_job(cell, &row->name, now_ms);
 	bool ours = run && run->job;
 	struct ack_wait wait;
 
@@ -112,7 +103,7 @@
 			const struct waxwing_running_row *row)
 {
 	struct cell_run *run = run_find(executor, &row->name);
-	struct cell_job *job = find_job(cell, &row->name);
+	struct cell_job *job = cell_find_run_job(cell, &row->name, now_ms);
 
 	if (!run) {
 		/* what it needs is not known until its job is */
--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -36,12 +36,65 @@
 		return left->late ? 1 : -1;
 	if (left->due_ms != right->due_ms)
 		return left->due_ms < right->due_ms ? -1 : 1;
-	return left->id < right->id ? -1 : left->id > right->id;
+	if (left->id != right->id)
+		return left->id < right->id ? -1 : 1;
+	return left->serial < right->serial ? -1 : left->serial > right->serial;
+}
+
+guint job_key_hash(gconstpointer key)
+{
+	const struct job_key *job = key;
+
+	return g_int64_hash(&job->id) ^ job->serial;
+}
+
+gboolean job_key_equal(gconstpointer a, gconstpointer b)
+{
+	const struct job_key *left = a;
+	const struct job_key *right = b;
+
+	return left->id == right->id && left->serial == right->serial;
+}
+
+struct cell_job *cell_find_job(const struct waxwing_cell *cell, uint64_t id)
+{
+	struct job_key key = { id, 0 };
+
+	return g_hash_table_lookup(cell->jobs, &key);
+}
+
+/* The job, or the occurrence, that a run is of; null: there is none any more. */
+struct cell_job *cell_find_run_job(struct waxwing_cell *cell, const struct waxwing_run_name *name,
+				   int64_t now_ms)
+{
+	struct cell_job *job = cell_find_job(cell, name->job);
+
+	if (job && job->repeats && cell->options.recovering)
+		return NULL;
+	if (job && job->repeats)
+		job = repeats_find(cell, job, name->occurrence, now_ms);
+	else if (name->occurrence)
+		return NULL;
+	return job && job_has_task(job, name->step, name->index) ? job : NULL;
+}
+
+/* Without the occurrences, which go with the whole. */
+GPtrArray *cell_whole_jobs(const struct waxwing_cell *cell)
+{
+	GPtrArray *jobs = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, cell->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (!((struct cell_job *)value)->whole)
+			g_ptr_array_add(jobs, value);
+	return jobs;
 }
 
 bool job_has_task(const struct cell_job *job, uint32_t step, uint32_t index)
 {
-	return step < job->spec->n_steps && index < job->steps[step].spec->count;
+	return step < job->step_count && index < job->steps[step].spec->count;
 }
 
 struct waxwing_capacity step_needs(const Waxwing__JobStep *step)
@@ -122,12 +175,19 @@
 	count_ready(cell, job, step, 1);
 }
 
+/* Jobs at set times wait for those, not for room. */
+bool job_counts_as_waiting(const struct cell_job *job)
+{
+	return !job->started && !job->whole && !job->repeats;
+}
+
 static void mark_started(struct cell_job *job)
 {
-	if (job->started)
-		return;
+	if (job_counts_as_waiting(job))
+		job->queue->waiting_jobs--;
 	job->started = true;
-	job->queue->waiting_jobs--;
+	if (job->whole)
+		job->whole->started = true;
 }
 
 /* The task has a run now. */
@@ -141,7 +201,7 @@
 
 void job_open_steps(struct waxwing_cell *cell, struct cell_job *job)
 {
-	for (uint32_t i = 0; i < job->spec->n_steps; i++) {
+	for (uint32_t i = 0; i < job->step_count; i++) {
 		struct cell_step *step = &job->steps[i];
 		bool open = !step->open;
 
@@ -169,8 +229,12 @@
 
 void job_free(struct waxwing_cell *cell, struct cell_job *job)
 {
-	g_hash_table_remove(cell->jobs, &job->id);
-	for (uint32_t i = 0; i < job->spec->n_steps; i++) {
+	g_hash_table_remove(cell->jobs, job);
+	repeats_free(cell, job->repeats);
+	if (job->whole)
+		g_ptr_array_remove(job->whole->repeats->open, job);
+	remove_from_ready(job);
+	for (uint32_t i = 0; i < job->step_count; i++) {
 		for (uint32_t k = 0; k < job->spec->steps[i]->count; k++)
 			free_task(&job->steps[i].tasks[k]);
 		g_free(job->steps[i].tasks);
@@ -217,7 +281,7 @@
 
 static void drop_ready_tasks(struct waxwing_cell *cell, struct cell_job *job)
 {
-	for (uint32_t i = 0; i < job->spec->n_steps; i++) {
+	for (uint32_t i = 0; i < job->step_count; i++) {
 		for (uint32_t k = 0; k < job->spec->steps[i]->count; k++) {
 			if (job->steps[i].tasks[k].state != TASK_READY)
 				continue;
@@ -229,7 +293,7 @@
 
 static void stop_runs(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms)
 {
-	for (uint32_t i = 0; i < job->spec->n_steps; i++) {
+	for (uint32_t i = 0; i < job->step_count; i++) {
 		for (uint32_t k = 0; k < job->spec->steps[i]->count; k++) {
 			struct cell_run *run = job->steps[i].tasks[k].run;
 
@@ -243,9 +307,11 @@
 void job_close(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms)
 {
 	job->ended = true;
-	if (!job->started)
+	if (job_counts_as_waiting(job))
 		job->queue->waiting_jobs--;
 	drop_ready_tasks(cell, job);
+	if (job->repeats)
+		repeats_close_all(cell, job, now_ms);
 	if (job->out)
 		stop_runs(cell, job, now_ms);
 	else
@@ -255,8 +321,14 @@
 /* One that must be kept is there until its end is stored. */
 void job_leave(struct waxwing_cell *cell, struct cell_job *job)
 {
-	if (job->ended && !job->out && (!job->kept || job->final_stored))
-		job_free(cell, job);
+	struct cell_job *whole = job->whole;
+
+	if (!job->ended || job->out || (job->kept && !job->final_stored) ||
+	    (job->repeats && job->repeats->open->len))
+		return;
+	job_free(cell, job);
+	if (whole)
+		job_leave(cell, whole);
 }
 
 void job_end(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms,
@@ -309,7 +381,9 @@
 		finish_task(cell, job, step, index, now_ms);
 	if (!job->undone) {
 		mark_started(job);
-		if (job->kept)
+		if (job->whole)
+			repeats_ended(cell, job, now_ms);
+		else if (job->kept)
 			keep_end(cell, job, now_ms, WAXWING_STATE_COMPLETED);
 		else
 			job_end(cell, job, now_ms, WAXWING_JOB_COMPLETED, WAXWING_OK, 0);
@@ -370,7 +444,7 @@
 		return;
 	if (job->steps[name->step].spec->gang)
 		kept.index = 0;
-	keep_failure(cell, &kept);
+	keep_failure(cell, job, &kept);
 }
 
 /* The task's run, or one that was given up as lapsed: the task may have another by now. */
@@ -396,7 +470,7 @@
 	if (task->state == TASK_OUT && !task->run)
 		task->state = TASK_DONE;
 	if (job->kept)
-		keep_end(cell, job, now_ms, WAXWING_STATE_FAILED);
+		keep_end(cell, job->whole ? job->whole : job, now_ms, WAXWING_STATE_FAILED);
 	else
 		job_end(cell, job, now_ms, WAXWING_JOB_FAILED, WAXWING_ERROR_TASK_FAILED, 0);
 }
@@ -426,7 +500,7 @@
 /* True when the offer is of a job that needs no taking in; answers what can be answered. */
 static bool is_known(struct waxwing_cell *cell, uint64_t issuer, Waxwing__JobOffer *offer)
 {
-	struct cell_job *job = g_hash_table_lookup(cell->jobs, &offer->job->id);
+	struct cell_job *job = cell_find_job(cell, offer->job->id);
 	struct verdict_kept *kept = g_hash_table_lookup(cell->verdicts, &offer->job->id);
 
 	if (job && !job->ended) {
@@ -440,41 +514,93 @@
 	return true;
 }
 
-struct cell_job *job_create(struct waxwing_cell *cell, int64_t now_ms, uint64_t issuer,
-			    Waxwing__JobOffer *offer)
+static void add_steps(struct cell_job *job)
+{
+	job->step_count = (uint32_t)job->spec->n_steps;
+	job->steps = g_new0(struct cell_step, job->step_count);
+	for (uint32_t i = 0; i < job->step_count; i++) {
+		job->steps[i].spec = job->spec->steps[i];
+		job->steps[i].tasks = g_new0(struct task, job->spec->steps[i]->count);
+		job->undone += job->spec->steps[i]->count;
+		job->lasts |= job->spec->steps[i]->long_running;
+	}
+	job->tasks = job->undone;
+}
+
+/* Without its steps. */
+static struct cell_job *add_job(struct waxwing_cell *cell, const Waxwing__Job *spec,
+				uint32_t serial, int64_t arrived_ms)
 {
 	struct cell_job *job = g_new0(struct cell_job, 1);
 	double objective_ms;
 
+	job->spec = spec;
+	job->id = spec->id;
+	job->serial = serial;
+	job->kept = spec->kept;
+	job->queue = find_queue(cell, spec->queue);
+	job->arrived_ms = arrived_ms;
+	objective_ms = spec->allowance_ms +
+		       spec->stretch_milli / 1000.0 * longest_chain_ms(job->queue, spec);
+	job->due_ms = arrived_ms + (int64_t)objective_ms;
+	g_hash_table_insert(cell->jobs, job, job);
+	return job;
+}
+
+struct cell_job *job_create(struct waxwing_cell *cell, int64_t now_ms, uint64_t issuer,
+			    Waxwing__JobOffer *offer)
+{
+	struct cell_job *job = add_job(cell, offer->job, 0, now_ms - offer->age_ms);
+
 	job->offer = offer;
-	job->spec = offer->job;
-	job->id = offer->job->id;
 	job->issuer = issuer;
-	job->queue = find_queue(cell, offer->job->queue);
-	job->arrived_ms = now_ms - offer->age_ms;
-	objective_ms = offer->job->allowance_ms +
-		       offer->job->stretch_milli / 1000.0 * longest_chain_ms(job->queue, job->spec);
-	job->due_ms = job->arrived_ms + (int64_t)objective_ms;
 	/* a former owner that knows of no successor stops them for the issuer's silence only */
 	if (offer->running_before)
 		job->unsure_until_ms =
 			now_ms + waxwing_cell_orders_last_ms(cell->options.lease_most_ms);
-	job->steps = g_new0(struct cell_step, job->spec->n_steps);
-	for (size_t i = 0; i < job->spec->n_steps; i++) {
-		job->steps[i].spec = job->spec->steps[i];
-		job->steps[i].tasks = g_new0(struct task, job->spec->steps[i]->count);
-		job->undone += job->spec->steps[i]->count;
-		job->lasts |= job->spec->steps[i]->long_running;
+	if (job->spec->repetitions) {
+		job->repeats = repeats_create(job->spec);
+		job->undone = job->tasks = job->spec->repetitions;
+	} else {
+		add_steps(job);
+		job->queue->waiting_jobs++;
 	}
-	job->tasks = job->undone;
-	job->queue->waiting_jobs++;
-	job->kept = job->spec->kept;
-	g_hash_table_insert(cell->jobs, &job->id, job);
 	if (!job->kept)
 		job_open_steps(cell, job);
 	return job;
 }
 
+struct cell_job *job_create_occurrence(struct waxwing_cell *cell, struct cell_job *whole,
+				       uint32_t occurrence, int64_t due_ms)
+{
+	struct cell_job *job = add_job(cell, whole->spec, occurrence + 1, due_ms);
+
+	job->whole = whole;
+	job->issuer = whole->issuer;
+	job->unsure_until_ms = whole->unsure_until_ms;
+	job->stored = true;
+	add_steps(job);
+	return job;
+}
+
+/* Runs of former owners have lower numbers than this owner's token. */
+static void raise_runs(const struct waxwing_cell *cell, struct cell_job *job)
+{
+	for (uint32_t i = 0; i < job->step_count; i++)
+		for (uint32_t k = 0; k < job->steps[i].spec->count; k++)
+			job->steps[i].tasks[k].last_run =
+				(uint32_t)(cell->options.fencing_token & INT32_MAX);
+}
+
+/* Goes on with what a former owner began. */
+void job_resume(struct waxwing_cell *cell, struct cell_job *job)
+{
+	if (job->unsure_until_ms)
+		raise_runs(cell, job);
+	job_open_steps(cell, job);
+	job_adopt_runs(cell, job);
+}
+
 /*
  * Runs that were found before their job was offered. One that is being stopped counts as out as well:
  * its task must not start beside it.
@@ -488,6 +614,7 @@
 			struct cell_run *run = executor->runs->pdata[k];
 
 			if (!run->job && run->name.job == job->id &&
+			    run->name.occurrence == (job->serial ? job->serial - 1 : 0) &&
 			    job_has_task(job, run->name.step, run->name.index))
 				run_adopt(cell, run, job);
 		}
@@ -548,7 +675,7 @@
 
 	if (spec->kept ? keep_offer(cell, now_ms, issuer, offer) : is_known(cell, issuer, offer))
 		return;
-	job = g_hash_table_lookup(cell->jobs, &spec->id);
+	job = cell_find_job(cell, spec->id);
 	if (job) {
 		/* an earlier submission's runs are still being stopped */
 		job_answer_offer(cell, now_ms, issuer, offer, WAXWING_JOB_GIVEN_UP,
@@ -565,7 +692,7 @@
 	job = job_create(cell, now_ms, issuer, offer);
 	if (!job->kept)
 		job_adopt_runs(cell, job);
-	if (!before && !job->lasts &&
+	if (!before && !job->lasts && !job->repeats &&
 	    (will_be_worthless(cell, now_ms, job, &wait_ms) ||
 	     is_behind(cell, job, now_ms, &wait_ms))) {
 		job->kept = false; /* nothing of it is stored */
@@ -578,7 +705,7 @@
 
 void waxwing_cell_withdraw(struct waxwing_cell *cell, int64_t now_ms, uint64_t id)
 {
-	struct cell_job *job = g_hash_table_lookup(cell->jobs, &id);
+	struct cell_job *job = cell_find_job(cell, id);
 
 	if (!job || job->ended || job->kept)
 		return;
@@ -626,6 +753,11 @@
 	keep_tell_late_askers(cell, job, now_ms);
 	if (job->ended)
 		return;
+	if (job->repeats) {
+		if (job->stored && !cell->options.recovering)
+			repeats_sweep(cell, job, now_ms);
+		return;
+	}
 	if (!job->kept && !job->started && now_ms > worthless_ms(job)) {
 		job_end(cell, job, now_ms, WAXWING_JOB_REFUSED, WAXWING_ERROR_DEADLINE,
 			(uint32_t)MAX(cell_wait_ms(cell, job->spec->service, now_ms),
--- a/src/cell/cell_keep.c
+++ b/src/cell/cell_keep.c
@@ -41,7 +41,7 @@
 bool keep_offer(struct waxwing_cell *cell, int64_t now_ms, uint64_t issuer,
 		Waxwing__JobOffer *offer)
 {
-	struct cell_job *job = g_hash_table_lookup(cell->jobs, &offer->job->id);
+	struct cell_job *job = cell_find_job(cell, offer->job->id);
 
 	(void)now_ms;
 	if (job && job->kept)
@@ -61,8 +61,7 @@
 
 bool waxwing_cell_knows(const struct waxwing_cell *cell, uint64_t job)
 {
-	return g_hash_table_contains(cell->jobs, &job) ||
-	       g_hash_table_contains(cell->finished, &job);
+	return cell_find_job(cell, job) || g_hash_table_contains(cell->finished, &job);
 }
 
 void keep_begin(struct waxwing_cell *cell, struct cell_job *job)
@@ -73,10 +72,18 @@
 	job->record_number = record(cell, &made);
 }
 
-static void fill_task(Waxwing__JournalRecord *made, uint64_t id, uint32_t step, uint32_t index)
+static void fill_occurrence(Waxwing__JournalRecord *made, const struct cell_job *job)
 {
+	made->has_occurrence = job->serial != 0;
+	made->occurrence = job->serial ? job->serial - 1 : 0;
+}
+
+static void fill_task(Waxwing__JournalRecord *made, const struct cell_job *job, uint32_t step,
+		      uint32_t index)
+{
+	fill_occurrence(made, job);
 	made->has_id = true;
-	made->id = id;
+	made->id = job->id;
 	made->has_step = true;
 	made->step = step;
 	made->has_index = true;
@@ -95,15 +102,27 @@
 {
 	Waxwing__JournalRecord made = WAXWING__JOURNAL_RECORD__INIT;
 
-	fill_task(&made, job->id, step, index);
+	fill_task(&made, job, step, index);
 	record(cell, &made);
 }
 
-void keep_failure(struct waxwing_cell *cell, const struct waxwing_run_name *name)
+void keep_occurrence_end(struct waxwing_cell *cell, const struct cell_job *whole,
+			 uint32_t occurrence)
 {
 	Waxwing__JournalRecord made = WAXWING__JOURNAL_RECORD__INIT;
 
-	fill_task(&made, name->job, name->step, name->index);
+	fill_end(&made, whole->id, WAXWING_STATE_COMPLETED);
+	made.has_occurrence = true;
+	made.occurrence = occurrence;
+	record(cell, &made);
+}
+
+void keep_failure(struct waxwing_cell *cell, const struct cell_job *job,
+		  const struct waxwing_run_name *name)
+{
+	Waxwing__JournalRecord made = WAXWING__JOURNAL_RECORD__INIT;
+
+	fill_task(&made, job, name->step, name->index);
 	made.has_failed_run = true;
 	made.failed_run = name->run;
 	record(cell, &made);
@@ -157,11 +176,11 @@
 
 void waxwing_cell_stored(struct waxwing_cell *cell, int64_t now_ms, uint64_t number)
 {
-	GList *jobs = g_hash_table_get_values(cell->jobs);
+	GPtrArray *jobs = cell_whole_jobs(cell);
 
 	cell->stored = number;
-	for (GList *at = jobs; at; at = at->next) {
-		struct cell_job *job = at->data;
+	for (guint i = 0; i < jobs->len; i++) {
+		struct cell_job *job = jobs->pdata[i];
 
 		if (!job->kept)
 			continue;
@@ -170,12 +189,12 @@
 		if (job->final_state && !job->final_stored && job->final_number <= number)
 			end_is_stored(cell, job, now_ms);
 	}
-	g_list_free(jobs);
+	g_ptr_array_free(jobs, TRUE);
 }
 
 void waxwing_cell_taken(struct waxwing_cell *cell, int64_t now_ms, uint64_t id)
 {
-	struct cell_job *job = g_hash_table_lookup(cell->jobs, &id);
+	struct cell_job *job = cell_find_job(cell, id);
 
 	if (!job || !job->kept || job->stored)
 		return;
@@ -203,6 +222,8 @@
 /* True when nothing is left to start: the job's end may have happened already. */
 static bool end_may_be_near(const struct cell_job *job)
 {
+	if (job->repeats && job->undone == 1 && job->repeats->open->len == 1)
+		return end_may_be_near(job->repeats->open->pdata[0]);
 	return job->final_state || (job->undone && job->undone == job->out);
 }
 
@@ -224,7 +245,7 @@
 void waxwing_cell_ask(struct waxwing_cell *cell, int64_t now_ms, uint64_t asker,
 		      const Waxwing__JobAsk *ask)
 {
-	struct cell_job *job = g_hash_table_lookup(cell->jobs, &ask->job);
+	struct cell_job *job = cell_find_job(cell, ask->job);
 	const struct finished *finished = g_hash_table_lookup(cell->finished, &ask->job);
 
 	if (cell->options.recovering || (job && job->kept && !job->stored))
@@ -276,63 +297,80 @@
 void waxwing_cell_replay(struct waxwing_cell *cell, int64_t now_ms,
 			 const Waxwing__JournalRecord *made)
 {
-	struct cell_job *job = made->has_id ? g_hash_table_lookup(cell->jobs, &made->id) : NULL;
+	struct cell_job *job = made->has_id ? cell_find_job(cell, made->id) : NULL;
 
-	if (made->job) {
+	if (made->has_occurrence && (!job || !job->repeats))
+		return;
+	if (made->has_occurrence && made->has_final_state) {
+		repeats_replay_end(cell, job, made->occurrence);
+	} else if (made->has_occurrence) {
+		replay_task(repeats_find(cell, job, made->occurrence, now_ms), made);
+	} else if (made->job) {
 		replay_job(cell, now_ms, made->job);
 	} else if (made->has_final_state) {
 		finish(cell, made->id, made->final_state, now_ms);
-		if (job) {
+		if (!job)
+			return;
+		if (job_counts_as_waiting(job))
 			job->queue->waiting_jobs--;
-			job_free(cell, job);
-		}
+		job_free(cell, job);
 	} else if (made->has_step) {
 		replay_task(job, made);
 	}
 }
 
-/* Runs of former owners have lower numbers than this owner's token. */
-static void raise_runs(const struct waxwing_cell *cell, struct cell_job *job)
-{
-	for (uint32_t i = 0; i < job->spec->n_steps; i++)
-		for (uint32_t k = 0; k < job->steps[i].spec->count; k++)
-			job->steps[i].tasks[k].last_run =
-				(uint32_t)(cell->options.fencing_token & INT32_MAX);
-}
-
 /* What the journal says of a job's tasks may be all, or the last failure allowed, already. */
 static enum waxwing_job_state state_due(const struct cell_job *job)
 {
 	if (!job->undone)
 		return WAXWING_STATE_COMPLETED;
-	for (uint32_t i = 0; i < job->spec->n_steps; i++)
+	for (uint32_t i = 0; i < job->step_count; i++)
 		for (uint32_t k = 0; k < job->steps[i].spec->count; k++)
 			if (task_failures(&job->steps[i].tasks[k]) >= job->spec->max_attempts)
 				return WAXWING_STATE_FAILED;
+	for (guint i = 0; job->repeats && i < job->repeats->open->len; i++)
+		if (state_due(job->repeats->open->pdata[i]) == WAXWING_STATE_FAILED)
+			return WAXWING_STATE_FAILED;
 	return WAXWING_STATE_NONE;
 }
 
-void waxwing_cell_recovered(struct waxwing_cell *cell, int64_t now_ms)
+/* All tasks of some occurrences may be done, and only their end not be stored. */
+static void end_done_occurrences(struct waxwing_cell *cell, struct cell_job *whole, int64_t now_ms)
 {
-	GList *jobs = g_hash_table_get_values(cell->jobs);
+	for (guint i = whole->repeats->open->len; i-- > 0;) {
+		struct cell_job *job = whole->repeats->open->pdata[i];
 
-	cell->options.recovering = false;
-	for (GList *at = jobs; at; at = at->next) {
-		struct cell_job *job = at->data;
-		enum waxwing_job_state due;
+		if (!job->undone)
+			repeats_ended(cell, job, now_ms);
+	}
+}
 
-		if (!job->kept)
-			continue;
-		raise_runs(cell, job);
-		due = state_due(job);
-		if (due) {
-			keep_end(cell, job, now_ms, due);
-			continue;
-		}
-		job_open_steps(cell, job);
-		job_adopt_runs(cell, job);
+static void recover_job(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms)
+{
+	enum waxwing_job_state due = state_due(job);
+
+	if (due) {
+		keep_end(cell, job, now_ms, due);
+		return;
+	}
+	if (!job->repeats) {
+		job_resume(cell, job);
+		return;
 	}
-	g_list_free(jobs);
+	end_done_occurrences(cell, job, now_ms);
+	if (!job->ended)
+		repeats_resume(cell, job, now_ms);
+}
+
+void waxwing_cell_recovered(struct waxwing_cell *cell, int64_t now_ms)
+{
+	GPtrArray *jobs = cell_whole_jobs(cell);
+
+	cell->options.recovering = false;
+	for (guint i = 0; i < jobs->len; i++)
+		if (((struct cell_job *)jobs->pdata[i])->kept)
+			recover_job(cell, jobs->pdata[i], now_ms);
+	g_ptr_array_free(jobs, TRUE);
 	for (guint i = 0; i < cell->list->len; i++)
 		((struct executor *)cell->list->pdata[i])->hold_wanted = true;
 	waxwing_event("cell_recovered", "cell=%s jobs=%u finished=%u", cell->options.name,
@@ -352,17 +390,39 @@
 	Waxwing__JournalRecord done = WAXWING__JOURNAL_RECORD__INIT;
 	Waxwing__JournalRecord failed = WAXWING__JOURNAL_RECORD__INIT;
 
-	fill_task(&failed, job->id, step, index);
+	fill_task(&failed, job, step, index);
 	failed.has_failed_run = true;
 	for (uint32_t i = 0; i < task_failures(task); i++) {
 		failed.failed_run = g_array_index(task->failed_runs, uint32_t, i);
 		add_record(records, &failed);
 	}
-	fill_task(&done, job->id, step, index);
+	fill_task(&done, job, step, index);
 	if (task->state == TASK_DONE && !job->ended)
 		add_record(records, &done);
 }
 
+static void add_tasks(GPtrArray *records, const struct cell_job *job)
+{
+	for (uint32_t i = 0; i < job->step_count; i++)
+		for (uint32_t k = 0; k < job->steps[i].spec->count; k++)
+			add_task(records, job, i, k);
+}
+
+static void add_occurrences(GPtrArray *records, const struct cell_job *whole)
+{
+	Waxwing__JournalRecord end = WAXWING__JOURNAL_RECORD__INIT;
+
+	fill_end(&end, whole->id, WAXWING_STATE_COMPLETED);
+	end.has_occurrence = true;
+	for (uint32_t i = 0; i < whole->spec->repetitions; i++) {
+		end.occurrence = i;
+		if (whole->repeats->done[i])
+			add_record(records, &end);
+	}
+	for (guint i = 0; i < whole->repeats->open->len; i++)
+		add_tasks(records, whole->repeats->open->pdata[i]);
+}
+
 static void add_job(GPtrArray *records, const struct cell_job *job)
 {
 	Waxwing__JournalRecord made = WAXWING__JOURNAL_RECORD__INIT;
@@ -370,9 +430,9 @@
 
 	made.job = (Waxwing__Job *)job->spec;
 	add_record(records, &made);
-	for (uint32_t i = 0; i < job->spec->n_steps; i++)
-		for (uint32_t k = 0; k < job->steps[i].spec->count; k++)
-			add_task(records, job, i, k);
+	add_tasks(records, job);
+	if (job->repeats)
+		add_occurrences(records, job);
 	if (!job->final_state)
 		return;
 	fill_end(&end, job->id, job->final_state);
@@ -382,17 +442,18 @@
 void waxwing_cell_snapshot(const struct waxwing_cell *cell, Waxwing__JournalSegment *segment)
 {
 	GPtrArray *records = g_ptr_array_new();
+	GPtrArray *jobs = cell_whole_jobs(cell);
 	GHashTableIter iter;
 	gpointer value;
 
-	g_hash_table_iter_init(&iter, cell->jobs);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct cell_job *job = value;
+	for (guint i = 0; i < jobs->len; i++) {
+		const struct cell_job *job = jobs->pdata[i];
 
 		/* one whose acceptance is not stored may be another cell's in the end */
 		if (job->kept && job->stored)
 			add_job(records, job);
 	}
+	g_ptr_array_free(jobs, TRUE);
 	g_hash_table_iter_init(&iter, cell->finished);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct finished *finished = value;
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -53,8 +53,25 @@
 	bool rack_only; /* and nowhere else */
 };
 
-struct cell_job {
+/* What a cell finds its jobs by. */
+struct job_key {
 	uint64_t id;
+	uint32_t serial; /* 0: the whole job; of a job that repeats, the occurrences count from 1 */
+};
+
+/* The occurrences of a job that repeats: each is a job of its own, but for what is stored. */
+struct repeats {
+	GPtrArray *open; /* struct cell_job */
+	bool *done; /* by occurrence */
+	uint32_t next; /* the first whose time has not come */
+};
+
+struct cell_job {
+	uint64_t id; /* with the serial, a struct job_key: both come first */
+	uint32_t serial;
+	uint32_t step_count; /* of the steps that it runs itself */
+	struct repeats *repeats; /* null: it runs once */
+	struct cell_job *whole; /* that this is an occurrence of; null: of none */
 	uint64_t issuer;
 	Waxwing__JobOffer *offer;
 	const Waxwing__Job *spec;
@@ -65,8 +82,8 @@
 	int64_t unsure_until_ms; /* its tasks may run on a former owner's orders */
 	uint32_t ready; /* tasks in TASK_READY */
 	uint32_t out;
-	uint32_t undone;
-	uint32_t tasks; /* of all steps */
+	uint32_t undone; /* tasks; of a job that repeats, occurrences */
+	uint32_t tasks; /* of all steps; of a job that repeats, occurrences */
 	bool started;
 	bool late; /* past its due time: others come first */
 	bool lasts; /* has a step whose tasks run until it is cancelled: it comes first */
@@ -174,7 +191,7 @@
 
 struct waxwing_cell {
 	struct waxwing_cell_options options;
-	GHashTable *jobs; /* id -> cell_job */
+	GHashTable *jobs; /* struct job_key -> cell_job */
 	GSequence *ready; /* cell_job, in the order of service */
 	GHashTable *executors; /* id -> executor */
 	GHashTable *lives; /* life -> executor */
@@ -187,6 +204,7 @@
 	uint64_t stored; /* records up to it are stored */
 	int64_t created_ms;
 	int64_t swept_ms;
+	int64_t day_offset_ms; /* time of day less the caller's clock */
 	int64_t first_listed_ms; /* when the first executor's lists were taken; 0: none were */
 	uint64_t next_life;
 	uint32_t runs;
@@ -255,8 +273,18 @@
 	     uint32_t retry_after_ms);
 void cell_sweep_jobs(struct waxwing_cell *cell, int64_t now_ms);
 
+guint job_key_hash(gconstpointer key);
+gboolean job_key_equal(gconstpointer a, gconstpointer b);
+struct cell_job *cell_find_job(const struct waxwing_cell *cell, uint64_t id); /* the whole */
+struct cell_job *cell_find_run_job(struct waxwing_cell *cell, const struct waxwing_run_name *name,
+				   int64_t now_ms);
+GPtrArray *cell_whole_jobs(const struct waxwing_cell *cell);
 struct cell_job *job_create(struct waxwing_cell *cell, int64_t now_ms, uint64_t issuer,
 			    Waxwing__JobOffer *offer);
+struct cell_job *job_create_occurrence(struct waxwing_cell *cell, struct cell_job *whole,
+				       uint32_t occurrence, int64_t due_ms);
+void job_resume(struct waxwing_cell *cell, struct cell_job *job);
+bool job_counts_as_waiting(const struct cell_job *job);
 void job_open_steps(struct waxwing_cell *cell, struct cell_job *job);
 void job_adopt_runs(struct waxwing_cell *cell, struct cell_job *job);
 void job_close(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms);
@@ -272,12 +300,27 @@
 		       int64_t now_ms);
 void lasting_sweep(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms);
 
+/* cell_repeat.c: jobs whose steps run many times */
+struct repeats *repeats_create(const Waxwing__Job *spec);
+void repeats_free(struct waxwing_cell *cell, struct repeats *repeats);
+struct cell_job *repeats_find(struct waxwing_cell *cell, struct cell_job *whole,
+			      uint32_t occurrence, int64_t now_ms); /* null: it has ended */
+void repeats_sweep(struct waxwing_cell *cell, struct cell_job *whole, int64_t now_ms);
+void repeats_ended(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms);
+void repeats_close(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms);
+void repeats_close_all(struct waxwing_cell *cell, struct cell_job *whole, int64_t now_ms);
+void repeats_replay_end(struct waxwing_cell *cell, struct cell_job *whole, uint32_t occurrence);
+void repeats_resume(struct waxwing_cell *cell, struct cell_job *whole, int64_t now_ms);
+
 /* cell_keep.c: jobs that must be kept */
 bool keep_offer(struct waxwing_cell *cell, int64_t now_ms, uint64_t issuer,
 		Waxwing__JobOffer *offer); /* false: it is a new job */
 void keep_begin(struct waxwing_cell *cell, struct cell_job *job);
 void keep_done(struct waxwing_cell *cell, struct cell_job *job, uint32_t step, uint32_t index);
-void keep_failure(struct waxwing_cell *cell, const struct waxwing_run_name *name);
+void keep_failure(struct waxwing_cell *cell, const struct cell_job *job,
+		  const struct waxwing_run_name *name);
+void keep_occurrence_end(struct waxwing_cell *cell, const struct cell_job *whole,
+			 uint32_t occurrence);
 void keep_end(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms,
 	      enum waxwing_job_state state);
 void keep_tell_late_askers(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -21,6 +21,7 @@
 struct waxwing_node_options {
 	const struct waxwing_clock
 		*clock; /**< counts the time that the machine was suspended too */
+	const struct waxwing_clock *day; /**< the time of day, since 1970: it may jump */
 	struct waxwing_link *link;
 	uint64_t incarnation; /**< of this process, never used twice */
 	struct waxwing_store *store;
--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -453,6 +453,7 @@
 			      (unsigned long long)issuer->sender);
 		waxwing_cell_forget_issuer(at->cell, now_ms, issuer->sender);
 	}
+	waxwing_cell_set_day(at->cell, node_day_offset(at->node));
 	waxwing_cell_run(at->cell, now_ms);
 	waxwing_journal_run(at->journal);
 	if (at->fenced_token && at->fenced_token == waxwing_claim_owner(at->claim)->fencing_token)
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -4,6 +4,7 @@
 #include "claim.h"
 #include "journal.h"
 #include "clock.h"
+#include "day_clock.h"
 #include "histogram.h"
 #include "link.h"
 #include "node.h"
@@ -72,6 +73,7 @@
 struct waxwing_node {
 	struct waxwing_node_options options;
 	const struct waxwing_clock *clock;
+	struct waxwing_day_clock day;
 	struct waxwing_link *link;
 	struct waxwing_store_watch *routing_watch;
 	struct waxwing_store_watch *owner_watch;
@@ -139,6 +141,13 @@
 	return 1U << at->index;
 }
 
+/* The time of day less the node's clock. */
+static inline int64_t node_day_offset(struct waxwing_node *node)
+{
+	return waxwing_day_clock_read(&node->day, waxwing_clock_now(node->clock),
+				      waxwing_clock_now(node->options.day));
+}
+
 static inline int64_t node_now(const struct waxwing_node *node)
 {
 	return waxwing_clock_now(node->clock);
--- a/test/cell_fixture.h
+++ b/test/cell_fixture.h
@@ -271,8 +271,8 @@
 			   make_offer(id, count, cpu_milli, estimated_ms, running_before, kept));
 }
 
-static void offer(struct fixture *fixture, uint64_t id, uint32_t count, uint32_t cpu_milli,
-		  uint32_t estimated_ms, bool running_before)
+static G_GNUC_UNUSED void offer(struct fixture *fixture, uint64_t id, uint32_t count,
+				uint32_t cpu_milli, uint32_t estimated_ms, bool running_before)
 {
 	offer_job(fixture, id, count, cpu_milli, estimated_ms, running_before, false);
 }
@@ -283,7 +283,24 @@
 	return &g_array_index(fixture->recorder.starts, struct start, index);
 }
 
-static struct verdict *verdict_at(struct fixture *fixture, guint index)
+static G_GNUC_UNUSED void ask(struct fixture *fixture, uint64_t job, bool cancel)
+{
+	Waxwing__JobAsk ask = WAXWING__JOB_ASK__INIT;
+
+	ask.job = job;
+	ask.cancel = cancel;
+	waxwing_cell_ask(fixture->cell, fixture->now_ms, WAXWING_ISSUER_SELF, &ask);
+}
+
+static G_GNUC_UNUSED uint32_t last_told(const struct fixture *fixture)
+{
+	const GArray *tolds = fixture->recorder.tolds;
+
+	g_assert_cmpuint(tolds->len, >, 0);
+	return g_array_index(tolds, uint32_t, tolds->len - 1);
+}
+
+static G_GNUC_UNUSED struct verdict *verdict_at(struct fixture *fixture, guint index)
 {
 	g_assert_cmpuint(index, <, fixture->recorder.verdicts->len);
 	return &g_array_index(fixture->recorder.verdicts, struct verdict, index);
--- a/test/node_world.h
+++ b/test/node_world.h
@@ -97,6 +97,7 @@
 		at->executors.ops = &fake_executor_ops;
 		at->link.ops = &fake_link_ops;
 		at->held = g_ptr_array_new();
+		waxwing_virtual_clock_init(&at->day, DAY_MS + world_now(world));
 		snprintf(at->name, sizeof(at->name), "node-%d", i);
 		snprintf(at->address, sizeof(at->address), "10.1.0.1:%d", i);
 		node_start(world, i);
@@ -120,6 +121,9 @@
 			first = g_sequence_get_begin_iter(world->events);
 		}
 		world->clock.now_ms++;
+		for (int i = 0; i < NODES; i++)
+			world->nodes[i].day.now_ms =
+				DAY_MS + world_now(world) + world->nodes[i].day_off_ms;
 		run_executors(world);
 		if (world_now(world) % WAXWING_NODE_TICK_MS == 0) {
 			if (!world->store_down)
--- a/test/node_world_executors.h
+++ b/test/node_world_executors.h
@@ -115,7 +115,8 @@
 
 static bool same_task(const struct waxwing_run_name *a, const struct waxwing_run_name *b)
 {
-	return a->job == b->job && a->step == b->step && a->index == b->index;
+	return a->job == b->job && a->occurrence == b->occurrence && a->step == b->step &&
+	       a->index == b->index;
 }
 
 /* True when the run is not higher than one that was stopped or ended there. */
@@ -180,6 +181,15 @@
 	world_violation(world, rule, name->job, name->index);
 }
 
+static bool is_early(const struct world *world, const struct client_job *job,
+		     const struct waxwing_run_name *name)
+{
+	int64_t due_ms = job->first_ms + name->occurrence * INTERVAL_MS;
+	int64_t early_ms = EARLY_MS + (world->day_jumped ? EARLY_JUMPED_MS : 0);
+
+	return name->occurrence >= job->repetitions || world_now(world) + early_ms < due_ms;
+}
+
 static void check_start(struct world *world, struct world_executor *executor,
 			const struct waxwing_run_name *name)
 {
@@ -196,13 +206,20 @@
 	}
 	if ((executor->runs->len + 1) * 6000 > EXECUTOR_CPU)
 		world_violation_at(world, "LIMIT", name, executor);
-	if (job && job->kept && (job->noted >> name->index & 1))
+	if (job && job->kept && (job->noted >> task_slot(name) & 1))
 		world_violation_at(world, "TWICE after its end", name, executor);
 	if (job && job->state == CLIENT_REFUSED)
 		world_violation(world, "REFUSED", name->job, name->index);
+	if (job && job->repetitions && is_early(world, job, name))
+		world_violation(world, "ORDER", name->job, name->occurrence);
+	if (job && job->repetitions && name->run == 1)
+		world->latest_ms =
+			MAX(world->latest_ms,
+			    world_now(world) - MAX(job->first_ms + name->occurrence * INTERVAL_MS,
+						   job->sent_ms));
 	if (job) {
 		job->started = true;
-		job->last_start_ms[name->index] = world_now(world);
+		job->last_start_ms[task_slot(name)] = world_now(world);
 	}
 }
 
@@ -301,9 +318,9 @@
 
 	if (!job || executor->lapsed_ms >= ended_ms)
 		return;
-	if (job->kept && job->last_start_ms[row->name.index] > ended_ms)
+	if (job->kept && job->last_start_ms[task_slot(&row->name)] > ended_ms)
 		world_violation_at(world, "TWICE before its end was noted", &row->name, executor);
-	job->noted |= 1ULL << row->name.index;
+	job->noted |= 1ULL << task_slot(&row->name);
 }
 
 static void note_acked(struct world *world, const struct world_executor *executor,
--- a/test/node_world_nodes.h
+++ b/test/node_world_nodes.h
@@ -120,11 +120,19 @@
 	return waxwing_routing_create(item->revision);
 }
 
+/* Sets a machine's time of day off. */
+static void node_jump(struct world *world, struct world_node *at, int64_t by_ms)
+{
+	at->day_off_ms = by_ms;
+	world->day_jumped |= by_ms != 0;
+}
+
 static void node_start(struct world *world, int index)
 {
 	struct world_node *at = &world->nodes[index];
 	struct waxwing_node_options options = {
 		.clock = &world->clock.base,
+		.day = &at->day.base,
 		.link = &at->link,
 		.store = &at->store,
 		.executors = &at->executors,
@@ -243,7 +251,7 @@
 		world_later(job->world, ASK_MS, client_asks, job);
 	} else if (answer->outcome == WAXWING_JOB_COMPLETED) {
 		job->state = CLIENT_SERVED;
-		if (job->done < job->tasks)
+		if (job->done < client_task_count(job))
 			world_violation(job->world, "INCOMPLETE", job->id, job->done);
 	} else if (answer->outcome == WAXWING_JOB_FAILED) {
 		job->state = CLIENT_LEFT;
@@ -276,6 +284,10 @@
 	made.patience_ms = 6000;
 	made.has_kept = true;
 	made.kept = job->kept;
+	made.has_repetitions = made.has_first_ms = made.has_interval_ms = job->repetitions != 0;
+	made.repetitions = job->repetitions;
+	made.first_ms = (uint64_t)(DAY_MS + job->first_ms);
+	made.interval_ms = INTERVAL_MS;
 	step.count = job->tasks;
 	step.has_cpu_milli = true;
 	step.cpu_milli = 6000;
@@ -315,7 +327,7 @@
 		return;
 	if (answered && state == WAXWING_STATE_COMPLETED) {
 		job->state = CLIENT_SERVED;
-		if (job->done < job->tasks)
+		if (job->done < client_task_count(job))
 			world_violation(job->world, "INCOMPLETE", job->id, job->done);
 		return;
 	}
@@ -355,6 +367,10 @@
 	job->tasks = (uint32_t)g_rand_int_range(world->random, 1, CLIENT_TASKS_MOST + 1);
 	job->work_ms = (uint32_t)g_rand_int_range(world->random, 20, (int32_t)world->work_most_ms);
 	job->kept = world_chance(world, world->kept_share);
+	if (job->kept && world->repeated_share > 0 && world_chance(world, world->repeated_share)) {
+		job->repetitions = REPETITIONS;
+		job->first_ms = world_now(world) + g_rand_int_range(world->random, -200, 1500);
+	}
 	g_hash_table_insert(world->jobs, &job->id, job);
 	client_submit(world, job);
 }
--- a/test/node_world_types.h
+++ b/test/node_world_types.h
@@ -20,7 +20,15 @@
 #define ASK_MS		  300
 #define WORK_MOST_MS	  400
 #define CLIENT_TASKS_MOST 4
-#define STORE_WATCH_KEYS  64
+/* Times that a repeated job's step runs, and between two of them. */
+#define REPETITIONS 3
+#define INTERVAL_MS 300
+/* The time of day of the world's clock at 0, since 1970. */
+#define DAY_MS 1700000000000
+/* An occurrence may start so much before its time, and so much more when clocks jump: by the users' pages. */
+#define EARLY_MS	 250
+#define EARLY_JUMPED_MS	 5000
+#define STORE_WATCH_KEYS 64
 
 struct world;
 
@@ -68,6 +76,8 @@
 	uint64_t incarnation;
 	int64_t frozen_until_ms;
 	GPtrArray *held; /* events that came while it was frozen */
+	struct waxwing_virtual_clock day; /* its time of day */
+	int64_t day_off_ms; /* by how much that is wrong */
 	bool store_cut;
 	bool deaf; /* other nodes' messages to it are lost */
 	int64_t lag_ms; /* its messages are read so late */
@@ -120,7 +130,9 @@
 	bool kept;
 	bool asking;
 	uint64_t noted; /* tasks, by bit, whose end was acknowledged */
-	int64_t last_start_ms[CLIENT_TASKS_MOST]; /* by task */
+	int64_t last_start_ms[CLIENT_TASKS_MOST * REPETITIONS]; /* by task */
+	uint32_t repetitions; /* 0: it runs once */
+	int64_t first_ms; /* of the world's clock, when its first occurrence is due */
 	enum client_state state;
 	int node;
 	uint64_t incarnation; /* of the node it waits at */
@@ -149,6 +161,9 @@
 	bool store_silent; /* takes calls, and never answers them; waiting watches are lost */
 	double store_lost_share; /* of changes: done, and not answered */
 	double kept_share; /* of jobs that must be kept */
+	double repeated_share; /* of those: at set times */
+	bool day_jumped; /* some machine's time of day was off */
+	int64_t latest_ms; /* that a first run of an occurrence began after its time, or its job's acceptance */
 	uint32_t work_most_ms; /* of a task */
 	double late_share; /* of orders: not answered, and carried out seconds later */
 	bool zone_cut[ZONES]; /* from the other failure domains and the store */
@@ -162,6 +177,17 @@
 	char first_violation[200];
 };
 
+/* A task of a job, whichever of its occurrences it is of. */
+static uint32_t task_slot(const struct waxwing_run_name *name)
+{
+	return name->occurrence * CLIENT_TASKS_MOST + name->index;
+}
+
+static uint32_t client_task_count(const struct client_job *job)
+{
+	return job->tasks * MAX(job->repetitions, 1);
+}
+
 static int64_t world_now(const struct world *world)
 {
 	return world->clock.now_ms;
--- a/test/test_cell_models.c
+++ b/test/test_cell_models.c
@@ -1,19 +1,6 @@
 /* One cell, order by order: jobs that must be kept, saved work, tasks that last, gangs. */
 #include "cell_fixture.h"
 
-static void ask(struct fixture *fixture, uint64_t job)
-{
-	Waxwing__JobAsk ask = WAXWING__JOB_ASK__INIT;
-
-	ask.job = job;
-	waxwing_cell_ask(fixture->cell, fixture->now_ms, WAXWING_ISSUER_SELF, &ask);
-}
-
-static uint32_t last_told(struct fixture *fixture)
-{
-	return g_array_index(fixture->recorder.tolds, uint32_t, fixture->recorder.tolds->len - 1);
-}
-
 /* A job that must be kept, whose only task has ended as done; that is not stored yet. */
 static void end_kept_job(struct fixture *fixture)
 {
@@ -24,11 +11,11 @@
 	waxwing_cell_stored(fixture->cell, fixture->now_ms, fixture->recorder.recorded);
 	run(fixture, 10);
 	started(fixture, 0);
-	ask(fixture, 1);
+	ask(fixture, 1, false);
 	run(fixture, 30);
 	g_assert_cmpuint(last_told(fixture), ==, WAXWING_STATE_RUNNING);
 	ended.name = start_at(fixture, 0)->name;
-	ask(fixture, 1); /* a little before the owner hears of the end */
+	ask(fixture, 1, false); /* a little before the owner hears of the end */
 	run(fixture, 5);
 	answer_hold(fixture, life, NULL, 0, &ended, 1);
 }
@@ -43,7 +30,7 @@
 
 	set_up(&fixture, false);
 	end_kept_job(&fixture);
-	ask(&fixture, 1);
+	ask(&fixture, 1, false);
 	run(&fixture, 20);
 	g_assert_cmpuint(fixture.recorder.tolds->len, ==, 1);
 	waxwing_cell_stored(fixture.cell, fixture.now_ms, fixture.recorder.recorded);
@@ -125,7 +112,7 @@
 	run(&fixture, 20);
 	g_assert_cmpuint(fixture.recorder.starts->len, ==, 0);
 	waxwing_cell_stored(fixture.cell, fixture.now_ms, fixture.recorder.recorded);
-	ask(&fixture, 9);
+	ask(&fixture, 9, false);
 	g_assert_cmpuint(last_told(&fixture), ==, WAXWING_STATE_COMPLETED);
 	waxwing__job_offer__free_unpacked(offered, NULL);
 	tear_down(&fixture);
--- /dev/null
+++ b/test/test_day_clock.c
@@ -0,0 +1,52 @@
+/* The time of day that schedules go by, while the machine's own jumps. */
+#include "day_clock.h"
+
+#include <glib.h>
+
+#define OFFSET_MS 1700000000000
+
+static void test_jump(void)
+{
+	struct waxwing_day_clock clock = { 0 };
+
+	g_assert_cmpint(waxwing_day_clock_read(&clock, 1000, OFFSET_MS + 1000), ==, OFFSET_MS);
+	for (int64_t ms = 1000; ms < 9000; ms += 10)
+		g_assert_cmpint(waxwing_day_clock_read(&clock, ms, OFFSET_MS + ms + 2000), ==,
+				OFFSET_MS);
+	g_assert_cmpint(waxwing_day_clock_read(&clock, 9000, OFFSET_MS + 9000), ==, OFFSET_MS);
+	/* a second jump, after the first has ended, is measured anew */
+	for (int64_t ms = 9010; ms < 38000; ms += 10)
+		g_assert_cmpint(waxwing_day_clock_read(&clock, ms, OFFSET_MS + ms - 2000), ==,
+				OFFSET_MS);
+}
+
+static void test_lasting(void)
+{
+	struct waxwing_day_clock clock = { 0 };
+
+	waxwing_day_clock_read(&clock, 1000, OFFSET_MS + 1000);
+	waxwing_day_clock_read(&clock, 2000, OFFSET_MS + 2000 + 5000);
+	g_assert_cmpint(waxwing_day_clock_read(&clock, 31990, OFFSET_MS + 31990 + 5000), ==,
+			OFFSET_MS);
+	g_assert_cmpint(waxwing_day_clock_read(&clock, 32000, OFFSET_MS + 32000 + 5000), ==,
+			OFFSET_MS + 5000);
+}
+
+/* A clock that is kept true moves a little all the time. */
+static void test_kept_true(void)
+{
+	struct waxwing_day_clock clock = { 0 };
+
+	for (int64_t i = 0; i < 1000; i++)
+		g_assert_cmpint(waxwing_day_clock_read(&clock, i * 1000, OFFSET_MS + i * 1001), ==,
+				OFFSET_MS + i);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/day_clock/jump", test_jump);
+	g_test_add_func("/day_clock/lasting", test_lasting);
+	g_test_add_func("/day_clock/kept_true", test_kept_true);
+	return g_test_run();
+}
--- a/test/test_node_faults.c
+++ b/test/test_node_faults.c
@@ -11,6 +11,8 @@
 #define FAULT_MS     700
 #define LONG_WORK_MS 4000
 #define LONG_JOBS_MS 400
+/* After an occurrence's time: a sweep and a tick of 10 ms each, the order's way, and an executor that is busy. */
+#define LATE_MOST_MS 150
 
 static void assert_promises(const struct world *world)
 {
@@ -669,6 +671,72 @@
 	return text ? (uint32_t)atoi(text) : otherwise;
 }
 
+/* Each occurrence starts within a tick and an order's way after its time, also while clocks jump. */
+static void test_repeated(void)
+{
+	struct world *world = begin(8);
+
+	world->kept_share = 1;
+	world->repeated_share = 1;
+	world->work_most_ms = 60;
+	serve(world, 1000);
+	for (int i = 0; i < NODES; i++)
+		node_jump(world, &world->nodes[i], i % 2 ? 2000 : -2000);
+	serve(world, 1000);
+	for (int i = 0; i < NODES; i++)
+		node_jump(world, &world->nodes[i], 0);
+	world->day_jumped = false; /* none started while the time was wrong: nothing may be early */
+	serve(world, 1000);
+	assert_all_answered(world);
+	g_assert_cmpuint(world_count(world, CLIENT_SERVED), ==, g_hash_table_size(world->jobs));
+	g_assert_cmpint(world->latest_ms, <, LATE_MOST_MS);
+	world_destroy(world);
+}
+
+/* All are killed while occurrences run and others are to come. */
+static void test_repeated_all_killed(void)
+{
+	for (uint32_t seed = 1; seed <= 10; seed++) {
+		struct world *world = begin(seed);
+
+		world->kept_share = 1;
+		world->repeated_share = 0.5;
+		serve(world, 1500);
+		restart_all(world, g_rand_int_range(world->random, 50, 2500));
+		serve(world, 2000);
+		assert_all_answered(world);
+		world_destroy(world);
+	}
+}
+
+/* Jobs at set times among others, with faults of all kinds and clocks that jump. */
+static void test_mix_repeated(void)
+{
+	uint32_t first = seed_or("WAXWING_TEST_FIRST", 1);
+	uint32_t last = seed_or("WAXWING_TEST_LAST", MIX_SEEDS / 2);
+
+	for (uint32_t seed = first; seed <= last; seed++) {
+		struct world *world = begin(seed);
+
+		g_test_message("seed %u", seed);
+		world->kept_share = 0.5;
+		world->repeated_share = 0.4;
+		for (int64_t passed = 0; passed < MIX_MS; passed += FAULT_MS) {
+			int node = g_rand_int_range(world->random, 0, NODES);
+
+			node_jump(world, &world->nodes[node],
+				  g_rand_int_range(world->random, -2000, 2000));
+			begin_fault(world);
+			serve(world, FAULT_MS);
+			end_faults(world, 0.35);
+			node_jump(world, &world->nodes[node], 0);
+		}
+		end_faults(world, 1);
+		assert_all_answered(world);
+		world_destroy(world);
+	}
+}
+
 /* Faults of all kinds, in series and overlapping. Seeds that once failed stay. */
 static void test_mix(void)
 {
@@ -722,6 +790,9 @@
 	g_test_add_func("/node/kept_zone_cut", test_kept_zone_cut);
 	g_test_add_func("/node/kept_offered_twice", test_kept_offered_twice);
 	g_test_add_func("/node/kept_taken", test_kept_taken);
+	g_test_add_func("/node/repeated", test_repeated);
+	g_test_add_func("/node/repeated_all_killed", test_repeated_all_killed);
 	g_test_add_func("/node/mix", test_mix);
+	g_test_add_func("/node/mix_repeated", test_mix_repeated);
 	return g_test_run();
 }
--- a/test/test_platform_adapter.c
+++ b/test/test_platform_adapter.c
@@ -253,6 +253,21 @@
 	waxwing__job__free_unpacked(job, NULL);
 }
 
+static void test_job_repeated(void)
+{
+	struct waxwing_error error;
+	Waxwing__Job *job = read_job("{\"Repetitions\":3,\"FirstMs\":1774363009050,"
+				     "\"IntervalMs\":500,\"Steps\":[{\"Count\":1}]}",
+				     &error);
+
+	g_assert_nonnull(job);
+	g_assert_true(job->kept);
+	g_assert_cmpuint(job->repetitions, ==, 3);
+	g_assert_cmpuint(job->first_ms, ==, 1774363009050);
+	g_assert_cmpuint(job->interval_ms, ==, 500);
+	waxwing__job__free_unpacked(job, NULL);
+}
+
 static void test_job_faulty(void)
 {
 	static const struct {
@@ -274,7 +289,14 @@
 		{ "{\"BestEffort\":true,\"Steps\":[{\"Count\":1},{\"Count\":1,\"After\":[2]}]}",
 		  WAXWING_ERROR_RANGE },
 		{ "{\"BestEffort\":true,\"Steps\":[{\"Count\":2000000}]}", WAXWING_ERROR_TOO_MANY },
-		{ "{\"Repetitions\":3,\"Steps\":[{\"Count\":1}]}", WAXWING_ERROR_NEVER_FITS },
+		{ "{\"BestEffort\":true,\"Repetitions\":3,\"Steps\":[{\"Count\":1}]}",
+		  WAXWING_ERROR_NEVER_FITS },
+		{ "{\"Repetitions\":-3,\"Steps\":[{\"Count\":1}]}", WAXWING_ERROR_RANGE },
+		{ "{\"Repetitions\":3000000,\"Steps\":[{\"Count\":1}]}", WAXWING_ERROR_RANGE },
+		{ "{\"Repetitions\":3,\"FirstMs\":\"noon\",\"Steps\":[{\"Count\":1}]}",
+		  WAXWING_ERROR_RANGE },
+		{ "{\"Repetitions\":3,\"IntervalMs\":1e30,\"Steps\":[{\"Count\":1}]}",
+		  WAXWING_ERROR_RANGE },
 		{ "{\"BestEffort\":true,\"Steps\":[{\"Count\":1,\"Fills\":true}]}",
 		  WAXWING_ERROR_NEVER_FITS },
 	};
@@ -322,6 +344,7 @@
 	g_test_add_func("/platform/routing_faulty", test_routing_faulty);
 	g_test_add_func("/platform/job", test_job);
 	g_test_add_func("/platform/job_faulty", test_job_faulty);
+	g_test_add_func("/platform/job_repeated", test_job_repeated);
 	g_test_add_func("/platform/task_names", test_task_names);
 	return g_test_run();
 }
