Wait for executors that lapsed from the list before a former owner's tasks start again; tell callers where no job can be kept

When the cut was over, the first that came back was given tasks 0.9 s later whose ends another listed after that, and these ends were then acknowledged. Change: tasks that a former owner may have started wait until no executor has newly come to the list for 2.5 s.

--- a/src/cell/cell_executor.c
+++ b/src/cell/cell_executor.c
@@ -196,8 +196,11 @@
 	struct executor *executor = g_hash_table_lookup(cell->executors, entry->id);
 	bool was_draining = executor && executor->draining;
 
-	if (!executor)
+	if (!executor) {
 		executor = add_executor(cell, now_ms, entry);
+		if (now_ms > cell->created_ms)
+			cell->appeared_ms = now_ms;
+	}
 	if (!executor->born_ms)
 		executor->born_ms = entry->born_ms;
 	else if (entry->born_ms > executor->born_ms)
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -10,6 +10,8 @@
 #define WORTH_WAITING_SPEED 1.25
 /* Executors that can be reached answer within this after the first did: a look each 200 ms, and its time. */
 #define LISTS_COME_MS 600
+/* Entries that lapsed during a cut are back within two seconds of its end, by the protocol; and a reading of them. */
+#define ENTRIES_COME_MS 2500
 
 static bool fits(const struct executor *executor, const struct waxwing_capacity *needs)
 {
@@ -354,12 +356,14 @@
 
 /*
  * True while tasks of the job may run on a former owner's orders, or have ended without its successor's
- * knowledge. When a cut ends, executors answer one after the other.
+ * knowledge. When a cut ends, executors are listed, and answer, one after the other.
  */
 static bool is_unsure(const struct waxwing_cell *cell, const struct cell_job *job, int64_t now_ms)
 {
-	return job->unsure_until_ms &&
-	       (now_ms < job->unsure_until_ms || now_ms - cell->first_listed_ms < LISTS_COME_MS);
+	if (!job->unsure_until_ms)
+		return false;
+	return now_ms < job->unsure_until_ms || now_ms - cell->first_listed_ms < LISTS_COME_MS ||
+	       (cell->appeared_ms && now_ms - cell->appeared_ms < ENTRIES_COME_MS);
 }
 
 void cell_place(struct waxwing_cell *cell, int64_t now_ms)
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -206,6 +206,7 @@
 	int64_t swept_ms;
 	int64_t day_offset_ms; /* time of day less the caller's clock */
 	int64_t first_listed_ms; /* when the first executor's lists were taken; 0: none were */
+	int64_t appeared_ms; /* when an executor that was not known at first was listed last; 0: none was */
 	uint64_t next_life;
 	uint32_t runs;
 	double queued_core_ms; /* of ready tasks, at speed 1 */
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -15,6 +15,8 @@
 
 /* Entries that lapsed while the store was down are back within two seconds, by the protocol. */
 #define LIST_BACK_MS 2300
+/* Callers who hand in jobs that must be kept are expected to go on for so long. */
+#define KEPT_LATELY_MS 10000
 
 /*
  * How long watches wait at the store. With the time for an answer, a connection that has fallen silent is
@@ -221,9 +223,24 @@
 	return count;
 }
 
+static bool can_keep(const struct waxwing_node *node)
+{
+	for (guint i = 0; i < node->cells->len; i++) {
+		const struct node_cell *at = node->cells->pdata[i];
+
+		if (!at->keeps_none && node_cell_reachable(at, node_now(node)))
+			return true;
+	}
+	return false;
+}
+
+/* Where no job can be kept, callers who have such jobs are better off elsewhere; others are served here. */
 bool waxwing_node_ready(const struct waxwing_node *node)
 {
-	return node->routing && !node->leaving && waxwing_node_reachable_cells(node) > 0;
+	bool asked = node->kept_ms && node_now(node) - node->kept_ms < KEPT_LATELY_MS;
+
+	return node->routing && !node->leaving && waxwing_node_reachable_cells(node) > 0 &&
+	       (!asked || can_keep(node));
 }
 
 void waxwing_node_leave(struct waxwing_node *node)
--- a/src/node/node_jobs.c
+++ b/src/node/node_jobs.c
@@ -187,6 +187,8 @@
 
 	ticket->job = job->id;
 	node->submitted++;
+	if (job->kept)
+		node->kept_ms = now_ms;
 	if (pending) {
 		ticket->next = pending->tickets;
 		pending->tickets = ticket;
--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -462,8 +462,11 @@
 
 bool node_owner_keeps_none(const struct node_cell *at)
 {
+	const struct waxwing_node *node = at->node;
+
 	return waxwing_cell_recovering(at->cell) ||
-	       waxwing_journal_delay_ms(at->journal) >= JOURNAL_STUCK_MS;
+	       waxwing_journal_delay_ms(at->journal) >= JOURNAL_STUCK_MS ||
+	       (node->store_lost_ms && node_now(node) - node->store_lost_ms >= JOURNAL_STUCK_MS);
 }
 
 /* The store takes no records now: the job is known not to be accepted here. */
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -93,6 +93,7 @@
 	int64_t store_lost_ms; /* 0: it answers */
 	GPtrArray
 		*verdicts; /* struct verdict_copy: to be told once the cells have done their work */
+	int64_t kept_ms; /* when a job that must be kept came last; 0: none has */
 	bool leaving;
 	bool touched; /* a cell has had events since it last ran */
 	struct waxwing_histogram
--- a/test/cell_fixture.h
+++ b/test/cell_fixture.h
@@ -135,6 +135,7 @@
 		.far_factor = 1,
 		.took_over = took_over,
 		.recovering = recovering,
+		.list_incomplete = recovering,
 		.status_ms = 120000,
 	};
 
@@ -292,6 +293,11 @@
 	waxwing_cell_ask(fixture->cell, fixture->now_ms, WAXWING_ISSUER_SELF, &ask);
 }
 
+static G_GNUC_UNUSED void store_all(struct fixture *fixture)
+{
+	waxwing_cell_stored(fixture->cell, fixture->now_ms, fixture->recorder.recorded);
+}
+
 static G_GNUC_UNUSED uint32_t last_told(const struct fixture *fixture)
 {
 	const GArray *tolds = fixture->recorder.tolds;
--- a/test/node_world.h
+++ b/test/node_world.h
@@ -57,6 +57,22 @@
 	}
 }
 
+/* What is cut off for long loses its entries; they are back within two seconds of the cut's end. */
+static void zone_lapses(struct world *world, int zone, int64_t back_ms)
+{
+	char key[32];
+
+	for (int i = 0; i < EXECUTORS; i++) {
+		struct world_executor *executor = &world->executors[i];
+
+		if (executor->zone != zone)
+			continue;
+		snprintf(key, sizeof(key), "servers/%s", executor->id);
+		store_remove(world, key);
+		executor->relist_ms = back_ms + g_rand_int_range(world->random, 50, 1950);
+	}
+}
+
 static struct world *world_create(uint32_t seed)
 {
 	struct world *world = g_new0(struct world, 1);
--- a/test/test_cell_models.c
+++ b/test/test_cell_models.c
@@ -416,6 +416,39 @@
 	tear_down(&fixture);
 }
 
+/*
+ * A failure domain was cut off for so long that its executors' entries lapsed. Its new owner waits for all of them
+ * to come back, not only for the first: another may list the task's end (kept jobs of several steps, trouble-2 of
+ * luachung-sched: TWICE 12).
+ */
+static void test_entries_come_back(void)
+{
+	struct fixture fixture;
+	struct waxwing_ended_row ended = { .number = 1,
+					   .name = { 9, 0, 0, 0, 1 },
+					   .end = WAXWING_RUN_DONE };
+	Waxwing__JobOffer *offer = make_offer(9, 1, 6000, 100, false, true);
+	Waxwing__JournalRecord accepted = WAXWING__JOURNAL_RECORD__INIT;
+
+	set_up_recovering(&fixture, true, true);
+	accepted.job = offer->job;
+	waxwing_cell_replay(fixture.cell, fixture.now_ms, &accepted);
+	waxwing_cell_recovered(fixture.cell, fixture.now_ms);
+	run(&fixture, 4000);
+	ready_executor(&fixture, "a", 16000);
+	run(&fixture, 1500);
+	add_executor(&fixture, "b", 16000, 0);
+	waxwing_cell_run(fixture.cell, fixture.now_ms);
+	answer_hold(&fixture, fixture.recorder.life, NULL, 0, &ended, 1);
+	run(&fixture, 4000);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 0);
+	store_all(&fixture);
+	ask(&fixture, 9, false);
+	g_assert_cmpuint(last_told(&fixture), ==, WAXWING_STATE_COMPLETED);
+	waxwing__job_offer__free_unpacked(offer, NULL);
+	tear_down(&fixture);
+}
+
 /* An ended job's id is free again only when its state need not be told any more. */
 static void test_forgets_ended(void)
 {
@@ -449,6 +482,7 @@
 	g_test_add_func("/cell/gangs_contend", test_gangs_contend);
 	g_test_add_func("/cell/refuses_hopeless_kept", test_refuses_hopeless_kept);
 	g_test_add_func("/cell/kept_backlog", test_kept_backlog);
+	g_test_add_func("/cell/entries_come_back", test_entries_come_back);
 	g_test_add_func("/cell/forgets_ended", test_forgets_ended);
 	return g_test_run();
 }
--- a/test/test_cell_repeat.c
+++ b/test/test_cell_repeat.c
@@ -6,11 +6,6 @@
 #define FIRST_MS    2000 /* of the cell's clock */
 #define INTERVAL_MS 100
 
-static void store_all(struct fixture *fixture)
-{
-	waxwing_cell_stored(fixture->cell, fixture->now_ms, fixture->recorder.recorded);
-}
-
 /* Hands in a job of one task that runs @repetitions times from FIRST_MS on. */
 static void begin(struct fixture *fixture, uint32_t repetitions, uint64_t interval_ms)
 {
--- a/test/test_node_faults.c
+++ b/test/test_node_faults.c
@@ -11,6 +11,8 @@
 #define FAULT_MS     700
 #define LONG_WORK_MS 4000
 #define LONG_JOBS_MS 400
+/* Longer than other failure domains' nodes wait before they claim a cell that is cut off. */
+#define ZONE_CUT_MS 9000
 /* After an occurrence's time: a sweep and a tick of 10 ms each, the order's way, and an executor that is busy. */
 #define LATE_MOST_MS 150
 
@@ -581,7 +583,8 @@
 
 /*
  * A failure domain is cut off: callers at the others' nodes have all their jobs kept and run there (a copy of
- * luachung-sched with kept jobs, trouble-2: 13% refused while executors were idle).
+ * luachung-sched with kept jobs, trouble-2: 13% refused while executors were idle). Its own nodes tell that they
+ * can keep none (a copy of kz-broom-orders with kept jobs of several steps, scale-1: 5% refused by them).
  */
 static void test_kept_zone_cut(void)
 {
@@ -594,14 +597,39 @@
 	world_run(world, 1000);
 	world->zone_cut[0] = true;
 	serve(world, 5000);
+	for (int i = 0; i < NODES; i++)
+		g_assert_true(waxwing_node_ready(world->nodes[i].node) ==
+			      (world->nodes[i].zone != 0));
 	g_assert_cmpuint(world_count(world, CLIENT_REFUSED), ==, 0);
 	g_assert_cmpuint(world_count(world, CLIENT_LEFT), ==, 0);
 	g_assert_cmpfloat(served_share(world), >, 0.9);
 	world->zone_cut[0] = false;
 	assert_all_answered(world);
+	for (int i = 0; i < NODES; i++)
+		g_assert_true(waxwing_node_ready(world->nodes[i].node));
 	world_destroy(world);
 }
 
+/* Cut off for so long that another node owns its cell and its executors' entries have lapsed. */
+static void test_kept_zone_lapses(void)
+{
+	for (uint32_t seed = 1; seed <= 20; seed++) {
+		struct world *world = begin(seed);
+		int64_t heals_ms = world_now(world) + 1000 + ZONE_CUT_MS;
+
+		world->kept_share = 1;
+		serve(world, 1000);
+		world->zone_cut[0] = true;
+		serve(world, ZONE_CUT_MS / 2);
+		zone_lapses(world, 0, heals_ms);
+		serve(world, heals_ms - world_now(world));
+		world->zone_cut[0] = false;
+		serve(world, 1000);
+		assert_all_answered(world);
+		world_destroy(world);
+	}
+}
+
 /* A second submission of a job, at another node. */
 struct again {
 	struct waxwing_ticket ticket; /* first */
@@ -788,6 +816,7 @@
 	g_test_add_func("/node/kept_leave", test_kept_leave);
 	g_test_add_func("/node/kept_owner_frozen", test_kept_owner_frozen);
 	g_test_add_func("/node/kept_zone_cut", test_kept_zone_cut);
+	g_test_add_func("/node/kept_zone_lapses", test_kept_zone_lapses);
 	g_test_add_func("/node/kept_offered_twice", test_kept_offered_twice);
 	g_test_add_func("/node/kept_taken", test_kept_taken);
 	g_test_add_func("/node/repeated", test_repeated);
