Run queues whose executors an outside service names (advice, tickets)

An owner asks for up to 30 executors of a step that has ready tasks and no place, one question at a time, in the order of service; answers hold for the step, tickets go with the starts and are asked for again when they run out, are rejected, or the executor lives anew. A job that no executor of the cell may run is refused there before anything of it is accepted or started, and offered to other cells, as one whose labels fit none now is whatever the other cell's wait. A job that must be kept is accepted once each step has an executor. The time of one question counts in the objective. platform/permits_http.c translates.

--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -68,6 +68,7 @@
 	WAXWING_START_OLD, /**< a run as high was stopped or ended there */
 	WAXWING_START_LATE, /**< the lease asked for was over on its clock */
 	WAXWING_START_FENCED, /**< it has seen a higher fencing token */
+	WAXWING_START_NO_TICKET, /**< its ticket is not valid */
 	WAXWING_START_REJECTED, /**< the order is malformed, or outside what it offers */
 	WAXWING_START_UNHEALTHY, /**< it does nothing now */
 	WAXWING_START_OTHER_LIFE, /**< another incarnation answered */
@@ -135,9 +136,35 @@
 	struct waxwing_run_name name;
 	const char *spec;
 	const char *checkpoint; /**< where an earlier run left off; null: from the start */
+	const char *ticket; /**< shows that the step may run there; null: none is needed */
 	int64_t until_ms; /**< of the lease, on the executor's clock */
 };
 
+/** Which of these executors may run a step? Valid during the call. */
+struct waxwing_permit_question {
+	uint64_t job;
+	uint32_t occurrence;
+	uint32_t step;
+	const char *const *executors; /**< ids */
+	const uint64_t *lives; /**< of the executors, as in struct waxwing_order_target */
+	size_t count;
+	uint32_t timeout_ms;
+};
+
+/** An executor that may run a step. */
+struct waxwing_permit_row {
+	const char *executor;
+	const char *ticket; /**< that each start there must carry */
+};
+
+/** Executors that were asked about and are not among @good may not run the step, for good. */
+struct waxwing_permit_answer {
+	bool answered;
+	const struct waxwing_permit_row *good;
+	size_t good_count;
+	uint32_t valid_ms; /**< of the tickets */
+};
+
 struct waxwing_cell_ops {
 	void (*start)(void *data, const struct waxwing_order_target *target,
 		      const struct waxwing_run_order *order);
@@ -147,6 +174,8 @@
 	void (*hold)(void *data, const struct waxwing_order_target *target, int64_t until_ms,
 		     uint64_t acked_upto, uint32_t wait_ms);
 	void (*verdict)(void *data, uint64_t issuer, const Waxwing__JobVerdict *verdict);
+	/** Answered by waxwing_cell_permits_answered(), once; null: jobs that need permits are refused. */
+	void (*ask_permits)(void *data, const struct waxwing_permit_question *question);
 	/** Writes to the journal; returns the record's number, from 1, rising. */
 	uint64_t (*record)(void *data, const Waxwing__JournalRecord *record);
 	/** A job's state is told no more: its id may be used again. */
@@ -267,6 +296,10 @@
 void waxwing_cell_hold_answered(struct waxwing_cell *cell, int64_t now_ms, uint64_t life,
 				const struct waxwing_hold_answer *answer);
 
+void waxwing_cell_permits_answered(struct waxwing_cell *cell, int64_t now_ms,
+				   const struct waxwing_permit_question *question,
+				   const struct waxwing_permit_answer *answer);
+
 /** Lets time pass and gives all orders that are due. Call it after events, and at each tick. */
 void waxwing_cell_run(struct waxwing_cell *cell, int64_t now_ms);
 
--- a/src/cell/cell_gang.c
+++ b/src/cell/cell_gang.c
@@ -105,6 +105,7 @@
 	}
 	runs = find_places(cell, job, step, now_ms);
 	if (!runs) {
+		permits_want(cell, job, step, now_ms);
 		if (now_ms - job->arrived_ms >= GANG_PATIENCE_MS)
 			keep_room(cell, job, step, now_ms);
 		return;
--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -130,7 +130,7 @@
 
 		for (size_t k = 0; k < spec->steps[i]->n_after; k++)
 			start = MAX(start, ends[spec->steps[i]->after[k]]);
-		ends[i] = start + step_longest_ms(queue, spec->steps[i]);
+		ends[i] = start + permits_cost_ms(spec) + step_longest_ms(queue, spec->steps[i]);
 		longest = MAX(longest, ends[i]);
 	}
 	g_free(ends);
@@ -206,9 +206,10 @@
 		bool open = !step->open;
 
 		for (size_t k = 0; k < step->spec->n_after && open; k++) {
-			const struct cell_step *before = &job->steps[step->spec->after[k]];
+			uint32_t before = step->spec->after[k];
 
-			open = before->done == before->spec->count;
+			open = before < i &&
+			       job->steps[before].done == job->spec->steps[before]->count;
 		}
 		if (!open)
 			continue;
@@ -239,6 +240,7 @@
 			free_task(&job->steps[i].tasks[k]);
 		g_free(job->steps[i].tasks);
 		g_free(job->steps[i].rack);
+		permits_clear(&job->steps[i]);
 	}
 	g_free(job->steps);
 	if (job->askers)
@@ -683,7 +685,8 @@
 		return;
 	}
 	for (size_t i = 0; i < spec->n_steps && !before; i++) {
-		if (!step_fits_somewhere(cell, spec, spec->steps[i])) {
+		if (!step_fits_somewhere(cell, spec, spec->steps[i]) ||
+		    (spec->permits_needed && !cell->options.ops->ask_permits)) {
 			job_answer_offer(cell, now_ms, issuer, offer, WAXWING_JOB_REFUSED,
 					 WAXWING_ERROR_NO_UPSTREAM, RETRY_AFTER_LEAST_MS * 5);
 			return;
@@ -698,6 +701,8 @@
 		job->kept = false; /* nothing of it is stored */
 		job_end(cell, job, now_ms, WAXWING_JOB_REFUSED, WAXWING_ERROR_OVERLOAD,
 			MAX(wait_ms, RETRY_AFTER_LEAST_MS));
+	} else if (job->kept && spec->permits_needed && !job->repeats) {
+		job->checked_first = true;
 	} else if (job->kept) {
 		keep_begin(cell, job);
 	}
@@ -748,6 +753,24 @@
 		g_sequence_sort_changed(job->place, compare_jobs, NULL);
 }
 
+/* A job that no executor here may run is another cell's, as long as nothing of it was accepted or started. */
+static void sweep_permits(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms)
+{
+	bool hopeless;
+	uint32_t unknown = permits_unknown_step(cell, job, now_ms, &hopeless);
+
+	if (hopeless) {
+		job->kept = false; /* nothing of it is stored */
+		job_end(cell, job, now_ms, WAXWING_JOB_REFUSED, WAXWING_ERROR_NO_UPSTREAM,
+			RETRY_AFTER_LEAST_MS * 5);
+	} else if (job->checked_first && unknown < job->step_count) {
+		permits_want(cell, job, unknown, now_ms);
+	} else if (job->checked_first) {
+		job->checked_first = false;
+		keep_begin(cell, job);
+	}
+}
+
 static void sweep_job(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms)
 {
 	keep_tell_late_askers(cell, job, now_ms);
@@ -765,6 +788,8 @@
 		return;
 	}
 	set_late(job, now_ms > job->due_ms && !is_nearly_done(job));
+	if (job->spec->permits_needed && (job->kept ? job->checked_first : !job->started))
+		sweep_permits(cell, job, now_ms);
 }
 
 static void sweep_runs(struct waxwing_cell *cell, int64_t now_ms)
--- a/src/cell/cell_keep.c
+++ b/src/cell/cell_keep.c
@@ -184,7 +184,7 @@
 
 		if (!job->kept)
 			continue;
-		if (!job->stored && job->record_number <= number)
+		if (!job->stored && !job->checked_first && job->record_number <= number)
 			acceptance_is_stored(cell, job);
 		if (job->final_state && !job->final_stored && job->final_number <= number)
 			end_is_stored(cell, job, now_ms);
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -85,6 +85,8 @@
 		return false;
 	if (executor->reserved_for && executor->reserved_for != job)
 		return false;
+	if (!permits_allow(job, step, executor))
+		return false;
 	return !spec->anti_affinity || runs_of_step(executor, job, step) < spec->anti_affinity;
 }
 
@@ -209,6 +211,7 @@
 		.name = run->name,
 		.spec = job->spec->spec,
 		.checkpoint = checkpoint_task(job, run->name.step, run->name.index)->checkpoint,
+		.ticket = permits_ticket(job, run->name.step, executor),
 		.until_ms = executor_until(cell, executor, now_ms),
 	};
 	struct waxwing_order_target target;
@@ -314,6 +317,7 @@
 {
 	struct cell_step *at = &job->steps[step];
 
+	permits_expire(at, now_ms);
 	if (at->spec->gang) {
 		gang_place(cell, job, step, now_ms);
 		return;
@@ -329,8 +333,10 @@
 		executor = pick_executor(cell, job, step, &at->tasks[index], now_ms, &speed);
 		if (!executor && at->spec->long_running)
 			reserve_executor(cell, job, step, now_ms);
-		if (!executor)
+		if (!executor) {
+			permits_want(cell, job, step, now_ms);
 			return;
+		}
 		if (should_wait(cell, job, step, now_ms, speed, awaited))
 			continue;
 		give_start(cell,
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -51,6 +51,7 @@
 	bool open; /* all steps before it have ended */
 	char *rack; /* where its tasks should run; null: on any */
 	bool rack_only; /* and nowhere else */
+	GHashTable *permits; /* executor's id -> struct permit; null: none asked for */
 };
 
 /* What a cell finds its jobs by. */
@@ -90,6 +91,7 @@
 	bool ended; /* its verdict is out; runs are being stopped */
 	/* of one that must be kept */
 	bool kept;
+	bool checked_first; /* it is accepted once each step is known to have an executor */
 	bool stored; /* its acceptance is */
 	bool final_stored;
 	uint64_t record_number; /* of its acceptance */
@@ -204,6 +206,8 @@
 	uint64_t stored; /* records up to it are stored */
 	int64_t created_ms;
 	int64_t swept_ms;
+	bool permit_out; /* a question for permits is not answered yet */
+	int64_t permit_next_ms;
 	int64_t day_offset_ms; /* time of day less the caller's clock */
 	int64_t first_listed_ms; /* when the first executor's lists were taken; 0: none were */
 	int64_t appeared_ms; /* when an executor that was not known at first was listed last; 0: none was */
@@ -301,6 +305,19 @@
 		       int64_t now_ms);
 void lasting_sweep(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms);
 
+/* cell_permit.c: steps that only some executors may run, as an outside service says */
+void permits_clear(struct cell_step *step);
+double permits_cost_ms(const Waxwing__Job *spec);
+const char *permits_ticket(const struct cell_job *job, uint32_t step,
+			   const struct executor *executor);
+bool permits_allow(const struct cell_job *job, uint32_t step, const struct executor *executor);
+void permits_expire(struct cell_step *step, int64_t now_ms);
+void permits_reject(struct cell_job *job, uint32_t step, const struct executor *executor);
+void permits_want(struct waxwing_cell *cell, const struct cell_job *job, uint32_t step,
+		  int64_t now_ms);
+uint32_t permits_unknown_step(const struct waxwing_cell *cell, const struct cell_job *job,
+			      int64_t now_ms, bool *hopeless);
+
 /* cell_repeat.c: jobs whose steps run many times */
 struct repeats *repeats_create(const Waxwing__Job *spec);
 void repeats_free(struct waxwing_cell *cell, struct repeats *repeats);
--- a/src/cell/cell_run.c
+++ b/src/cell/cell_run.c
@@ -240,6 +240,11 @@
 	case WAXWING_START_LATE:
 		not_started(cell, run, "late");
 		break;
+	case WAXWING_START_NO_TICKET:
+		if (run->job)
+			permits_reject(run->job, run->name.step, executor);
+		not_started(cell, run, "ticket");
+		break;
 	case WAXWING_START_FENCED:
 		cell->options.ops->fenced(cell->options.data, executor->id);
 		break;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -12,6 +12,7 @@
 #include "clock.h"
 #include "executors.h"
 #include "link.h"
+#include "permits.h"
 #include "routing.h"
 #include "store.h"
 #include "waxwingswitch/error.h"
@@ -26,6 +27,7 @@
 	uint64_t incarnation; /**< of this process, never used twice */
 	struct waxwing_store *store;
 	struct waxwing_executors *executors;
+	struct waxwing_permits *permits; /**< null: there is none */
 	const char *name;
 	const char *zone; /**< failure domain of this node */
 	/** All failure domains, null-terminated, at most WAXWING_NODE_ZONES_MOST; each has a cell. */
--- a/src/node/node_jobs.c
+++ b/src/node/node_jobs.c
@@ -241,17 +241,17 @@
 }
 
 /*
- * A refusal for load is true of one cell only. A job that must be kept is offered to all: it may have been sent
- * before, and the cell that has accepted it says so.
+ * A refusal for load is true of one cell only, and one for want of executors that may run the job as well. A job
+ * that must be kept is offered to all: it may have been sent before, and the cell that has accepted it says so.
  */
 static struct node_cell *other_cell(struct waxwing_node *node, struct pending *pending,
-				    int64_t now_ms)
+				    enum waxwing_error_code reason, int64_t now_ms)
 {
 	struct node_cell *other;
 
 	pending->refusals |= node_cell_bit(pending->cell);
 	other = choose_cell(node, pending->job, pending->refusals, now_ms);
-	if (!other || pending->job->kept)
+	if (!other || pending->job->kept || reason == WAXWING_ERROR_NO_UPSTREAM)
 		return other;
 	if (pending->refused_once || cell_cost(other, pending->job) + OTHER_CELL_GAIN_MS >
 					     cell_cost(pending->cell, pending->job))
@@ -260,9 +260,10 @@
 	return other;
 }
 
-static bool try_other_cell(struct waxwing_node *node, struct pending *pending, int64_t now_ms)
+static bool try_other_cell(struct waxwing_node *node, struct pending *pending,
+			   enum waxwing_error_code reason, int64_t now_ms)
 {
-	struct node_cell *other = other_cell(node, pending, now_ms);
+	struct node_cell *other = other_cell(node, pending, reason, now_ms);
 
 	if (!other)
 		return false;
@@ -292,7 +293,8 @@
 
 		/* an owner knows whether a former one has stored a job that must be kept */
 		told.may_have_run = kept ? pending->may_be_stored : pending->may_have_run;
-		if ((kept || !told.may_have_run) && try_other_cell(node, pending, node_now(node)))
+		if ((kept || !told.may_have_run) &&
+		    try_other_cell(node, pending, told.reason, node_now(node)))
 			return;
 	}
 	if (told.outcome == WAXWING_JOB_GIVEN_UP)
--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -144,6 +144,64 @@
 	at->node->link->ops->answer(at->node->link, sender, message);
 }
 
+/* A question that is out; one block with the rows and the texts that it points to. */
+struct permit_call {
+	struct node_cell *at;
+	uint64_t ownership;
+	struct waxwing_permit_question question;
+};
+
+static struct permit_call *create_permit_call(struct node_cell *at,
+					      const struct waxwing_permit_question *question)
+{
+	size_t rows = question->count * (sizeof(char *) + sizeof(uint64_t));
+	size_t texts = 0;
+	struct permit_call *call;
+	const char **executors;
+	uint64_t *lives;
+	char *text;
+
+	for (size_t i = 0; i < question->count; i++)
+		texts += strlen(question->executors[i]) + 1;
+	call = g_malloc0(sizeof(*call) + rows + texts);
+	lives = (uint64_t *)(void *)(call + 1);
+	executors = (const char **)(void *)(lives + question->count);
+	text = (char *)(executors + question->count);
+	for (size_t i = 0; i < question->count; i++) {
+		lives[i] = question->lives[i];
+		executors[i] = text;
+		text = g_stpcpy(text, question->executors[i]) + 1;
+	}
+	call->at = at;
+	call->ownership = at->ownership;
+	call->question = *question;
+	call->question.executors = executors;
+	call->question.lives = lives;
+	return call;
+}
+
+static void permits_done(void *data, const struct waxwing_permit_answer *answer)
+{
+	struct permit_call *call = data;
+	struct node_cell *at = call->at;
+
+	if (at->ownership == call->ownership && at->cell)
+		waxwing_cell_permits_answered(at->cell, node_now(at->node), &call->question,
+					      answer);
+	at->node->touched = true;
+	g_free(call);
+}
+
+static void ask_permits(void *data, const struct waxwing_permit_question *question)
+{
+	struct node_cell *at = data;
+	struct waxwing_permits *permits = at->node->options.permits;
+	struct permit_call *call = create_permit_call(at, question);
+	struct waxwing_permits_call ask = { &call->question, permits_done, call };
+
+	permits->ops->ask(permits, &ask);
+}
+
 static void give_verdict(void *data, uint64_t issuer, const Waxwing__JobVerdict *verdict)
 {
 	struct node_cell *at = data;
@@ -200,11 +258,23 @@
 		      (unsigned long long)owner->fencing_token, executor);
 }
 
+static const struct waxwing_cell_ops cell_ops_without_permits = {
+	.start = order_start,
+	.stop = order_stop,
+	.hold = order_hold,
+	.verdict = give_verdict,
+	.record = add_record,
+	.forget = forget_job,
+	.told = tell_state,
+	.fenced = note_fenced,
+};
+
 static const struct waxwing_cell_ops cell_ops = {
 	.start = order_start,
 	.stop = order_stop,
 	.hold = order_hold,
 	.verdict = give_verdict,
+	.ask_permits = ask_permits,
 	.record = add_record,
 	.forget = forget_job,
 	.told = tell_state,
@@ -344,7 +414,7 @@
 {
 	struct waxwing_node *node = at->node;
 	struct waxwing_cell_options options = {
-		.ops = &cell_ops,
+		.ops = node->options.permits ? &cell_ops : &cell_ops_without_permits,
 		.data = at,
 		.name = at->name,
 		.fencing_token = token,
--- a/src/node/routing.h
+++ b/src/node/routing.h
@@ -24,6 +24,10 @@
 	double stretch; /**< objective: this many times the longest chain of work */
 	uint32_t allowance_ms; /**< objective: and so much more */
 	uint32_t timeout_ms;
+	bool permits_needed; /**< an outside service says which executors may run a step */
+	uint32_t permit_base_ms; /**< that it takes to answer */
+	uint32_t permit_each_ms; /**< and for each executor that it is asked about */
+	uint32_t permit_valid_ms; /**< how long a permit counts */
 };
 
 /** A service of executors. */
--- a/test/cell_fixture.h
+++ b/test/cell_fixture.h
@@ -25,6 +25,10 @@
 	uint64_t recorded;
 	uint32_t forgotten; /* jobs whose state is told no more */
 	GArray *tolds; /* enum waxwing_job_state */
+	uint32_t questions; /* for permits */
+	struct waxwing_permit_question asked; /* the last, with the ids in asked_ids */
+	char asked_ids[8][16];
+	uint64_t asked_lives[8];
 };
 
 struct start {
@@ -32,6 +36,7 @@
 	uint64_t life;
 	char executor[16];
 	char checkpoint[16];
+	char ticket[16];
 };
 
 struct verdict {
@@ -45,10 +50,12 @@
 			 const struct waxwing_run_order *order)
 {
 	struct recorder *recorder = data;
-	struct start start = { order->name, target->life, "", "" };
+	struct start start = { order->name, target->life, "", "", "" };
 
 	if (order->checkpoint)
 		g_strlcpy(start.checkpoint, order->checkpoint, sizeof(start.checkpoint));
+	if (order->ticket)
+		g_strlcpy(start.ticket, order->ticket, sizeof(start.ticket));
 	g_strlcpy(start.executor, target->id, sizeof(start.executor));
 	g_array_append_val(recorder->starts, start);
 }
@@ -99,6 +106,20 @@
 	g_array_append_val(((struct recorder *)data)->tolds, told->state);
 }
 
+static void record_question(void *data, const struct waxwing_permit_question *question)
+{
+	struct recorder *recorder = data;
+
+	recorder->questions++;
+	recorder->asked = *question;
+	g_assert_cmpuint(question->count, <=, G_N_ELEMENTS(recorder->asked_ids));
+	for (size_t i = 0; i < question->count; i++) {
+		g_strlcpy(recorder->asked_ids[i], question->executors[i],
+			  sizeof(recorder->asked_ids[i]));
+		recorder->asked_lives[i] = question->lives[i];
+	}
+}
+
 static void record_fenced(void *data, const char *executor)
 {
 	(void)executor;
@@ -113,6 +134,7 @@
 	.record = count_record,
 	.forget = record_forget,
 	.told = record_told,
+	.ask_permits = record_question,
 	.fenced = record_fenced,
 };
 
--- a/test/node_world.h
+++ b/test/node_world.h
@@ -111,6 +111,7 @@
 		at->zone = i % ZONES;
 		at->store.ops = &fake_store_ops;
 		at->executors.ops = &fake_executor_ops;
+		at->permits.ops = &fake_permits_ops;
 		at->link.ops = &fake_link_ops;
 		at->held = g_ptr_array_new();
 		waxwing_virtual_clock_init(&at->day, DAY_MS + world_now(world));
--- a/test/node_world_executors.h
+++ b/test/node_world_executors.h
@@ -2,6 +2,7 @@
 #ifndef WAXWING_TEST_NODE_WORLD_EXECUTORS_H
 #define WAXWING_TEST_NODE_WORLD_EXECUTORS_H
 
+#include "node_world_permits.h"
 #include "node_world_types.h"
 
 enum executor_kind {
@@ -17,6 +18,7 @@
 	int executor;
 	enum executor_kind kind;
 	struct waxwing_run_name name;
+	char ticket[64];
 	uint64_t token;
 	int64_t until_ms;
 	uint64_t acked_upto;
@@ -240,6 +242,9 @@
 			return WAXWING_START_RUNS;
 	if (is_old(executor, &call->name))
 		return WAXWING_START_OLD;
+	if (job && job->permitted &&
+	    !ticket_is_good(world, call->ticket, call->name.job, executor->id))
+		return WAXWING_START_NO_TICKET;
 	executor->lease_until_ms =
 		MAX(executor->lease_until_ms,
 		    MIN(call->until_ms, executor_clock(world, executor) + LEASE_MOST_MS));
@@ -436,6 +441,8 @@
 
 	call->name = start->order->name;
 	call->until_ms = start->order->until_ms;
+	if (start->order->ticket)
+		g_strlcpy(call->ticket, start->order->ticket, sizeof(call->ticket));
 	call->start_done = start->done;
 	call->data = start->data;
 	executor_send(call);
--- a/test/node_world_nodes.h
+++ b/test/node_world_nodes.h
@@ -136,6 +136,7 @@
 		.link = &at->link,
 		.store = &at->store,
 		.executors = &at->executors,
+		.permits = &at->permits,
 		.name = at->name,
 		.zone = zone_names[at->zone],
 		.zones = zone_names,
@@ -284,6 +285,10 @@
 	made.patience_ms = 6000;
 	made.has_kept = true;
 	made.kept = job->kept;
+	made.has_permits_needed = made.has_permit_base_ms = made.has_permit_each_ms = true;
+	made.permits_needed = job->permitted;
+	made.permit_base_ms = PERMIT_BASE_MS;
+	made.permit_each_ms = PERMIT_EACH_MS;
 	made.has_repetitions = made.has_first_ms = made.has_interval_ms = job->repetitions != 0;
 	made.repetitions = job->repetitions;
 	made.first_ms = (uint64_t)(DAY_MS + job->first_ms);
@@ -367,6 +372,7 @@
 	job->tasks = (uint32_t)g_rand_int_range(world->random, 1, CLIENT_TASKS_MOST + 1);
 	job->work_ms = (uint32_t)g_rand_int_range(world->random, 20, (int32_t)world->work_most_ms);
 	job->kept = world_chance(world, world->kept_share);
+	job->permitted = world->permit_share > 0 && world_chance(world, world->permit_share);
 	if (job->kept && world->repeated_share > 0 && world_chance(world, world->repeated_share)) {
 		job->repetitions = REPETITIONS;
 		job->first_ms = world_now(world) + g_rand_int_range(world->random, -200, 1500);
--- a/test/node_world_types.h
+++ b/test/node_world_types.h
@@ -71,6 +71,7 @@
 	int index;
 	int zone;
 	struct waxwing_executors executors;
+	struct waxwing_permits permits;
 	struct waxwing_link link;
 	struct waxwing_node *node; /* null: dead */
 	uint64_t incarnation;
@@ -131,6 +132,7 @@
 	bool asking;
 	uint64_t noted; /* tasks, by bit, whose end was acknowledged */
 	int64_t last_start_ms[CLIENT_TASKS_MOST * REPETITIONS]; /* by task */
+	bool permitted; /* only some executors may run it */
 	uint32_t repetitions; /* 0: it runs once */
 	int64_t first_ms; /* of the world's clock, when its first occurrence is due */
 	enum client_state state;
@@ -162,6 +164,8 @@
 	double store_lost_share; /* of changes: done, and not answered */
 	double kept_share; /* of jobs that must be kept */
 	double repeated_share; /* of those: at set times */
+	double permit_share; /* of jobs that only some executors may run */
+	double permits_lost_share; /* of questions about that: not answered */
 	bool day_jumped; /* some machine's time of day was off */
 	int64_t latest_ms; /* that a first run of an occurrence began after its time, or its job's acceptance */
 	uint32_t work_most_ms; /* of a task */
--- a/test/test_node_faults.c
+++ b/test/test_node_faults.c
@@ -737,6 +737,43 @@
 	}
 }
 
+/* Jobs that only some executors may run: served like others in calm, with promises kept under faults. */
+static void test_permits(void)
+{
+	struct world *world = begin(9);
+
+	world->kept_share = 0.5;
+	world->permit_share = 0.5;
+	world->work_most_ms = 60;
+	serve(world, 4000);
+	assert_all_answered(world);
+	g_assert_cmpfloat(served_share(world), ==, 1);
+	world_destroy(world);
+}
+
+static void test_mix_permits(void)
+{
+	uint32_t first = seed_or("WAXWING_TEST_FIRST", 1);
+	uint32_t last = seed_or("WAXWING_TEST_LAST", MIX_SEEDS / 4);
+
+	for (uint32_t seed = first; seed <= last; seed++) {
+		struct world *world = begin(seed);
+
+		g_test_message("seed %u", seed);
+		world->kept_share = 0.4;
+		world->permit_share = 0.5;
+		world->permits_lost_share = 0.05;
+		for (int64_t passed = 0; passed < MIX_MS; passed += FAULT_MS) {
+			begin_fault(world);
+			serve(world, FAULT_MS);
+			end_faults(world, 0.35);
+		}
+		end_faults(world, 1);
+		assert_all_answered(world);
+		world_destroy(world);
+	}
+}
+
 /* Jobs at set times among others, with faults of all kinds and clocks that jump. */
 static void test_mix_repeated(void)
 {
@@ -821,6 +858,8 @@
 	g_test_add_func("/node/kept_taken", test_kept_taken);
 	g_test_add_func("/node/repeated", test_repeated);
 	g_test_add_func("/node/repeated_all_killed", test_repeated_all_killed);
+	g_test_add_func("/node/permits", test_permits);
+	g_test_add_func("/node/mix_permits", test_mix_permits);
 	g_test_add_func("/node/mix", test_mix);
 	g_test_add_func("/node/mix_repeated", test_mix_repeated);
 	return g_test_run();
--- a/test/test_platform_adapter.c
+++ b/test/test_platform_adapter.c
@@ -2,6 +2,7 @@
 #include "entries.h"
 #include "executor_http.h"
 #include "job_body.h"
+#include "permits_http.h"
 #include "settings_file.h"
 
 #include <glib.h>
@@ -174,7 +175,8 @@
 	"{\"Version\":7,\"Routes\":["
 	"{\"Name\":\"q1\",\"Host\":\"Nony24.example\",\"Prefix\":\"/lohu930/\",\"Priority\":2,"
 	"\"Service\":\"s\",\"MaxAttempts\":3,\"Stretch\":1.6,\"TargetDurationMs\":60},"
-	"{\"Name\":\"q2\",\"Host\":\"nony24.example\",\"Prefix\":\"/lohu930/deep/\",\"Service\":\"s\"}],"
+	"{\"Name\":\"q2\",\"Host\":\"nony24.example\",\"Prefix\":\"/lohu930/deep/\",\"Service\":\"s\","
+	"\"Advice\":{\"DecisionMs\":40,\"EachMs\":2,\"ValidityMs\":3000}}],"
 	"\"Services\":[{\"Name\":\"s\",\"EnforcesCapacity\":true,\"MaxConnections\":64}],"
 	"\"Limits\":{\"MaxBodyBytes\":262144}}";
 
@@ -190,10 +192,15 @@
 				     waxwing_str("/lohu930/0123"));
 	g_assert_cmpstr(queue->name, ==, "q1");
 	g_assert_cmpfloat(queue->stretch, ==, 1.6);
+	g_assert_false(queue->permits_needed);
 	queue = waxwing_routing_find(routing, waxwing_str("nony24.example"),
 				     waxwing_str("/lohu930/deep/0123"));
 	g_assert_cmpstr(queue->name, ==, "q2");
 	g_assert_cmpuint(queue->max_attempts, ==, 1);
+	g_assert_true(queue->permits_needed);
+	g_assert_cmpuint(queue->permit_base_ms, ==, 40);
+	g_assert_cmpuint(queue->permit_each_ms, ==, 2);
+	g_assert_cmpuint(queue->permit_valid_ms, ==, 3000);
 	g_assert_null(waxwing_routing_find(routing, waxwing_str("other.example"),
 					   waxwing_str("/lohu930/0123")));
 	g_assert_null(waxwing_routing_find(routing, waxwing_str("nony24.example"),
@@ -268,6 +275,39 @@
 	waxwing__job__free_unpacked(job, NULL);
 }
 
+static void take_permits(void *data, const struct waxwing_permit_answer *answer)
+{
+	GString *text = data;
+
+	g_string_append_printf(text, "%d %u:", answer->answered, answer->valid_ms);
+	for (size_t i = 0; i < answer->good_count; i++)
+		g_string_append_printf(text, " %s=%s", answer->good[i].executor,
+				       answer->good[i].ticket);
+	g_string_append_c(text, ';');
+}
+
+static void test_permits(void)
+{
+	static const char *const ids[] = { "i-1", "i-2" };
+	struct waxwing_permit_question question = {
+		.job = 0x5c0e7a21d94b36f8, .occurrence = 3, .step = 1, .executors = ids, .count = 2
+	};
+	GString *body = permits_print_question(&question);
+	GString *text = g_string_new(NULL);
+
+	g_assert_cmpstr(body->str, ==,
+			"{\"Step\":\"5c0e7a21d94b36f8.3.1\",\"Workers\":[\"i-1\",\"i-2\"]}");
+	permits_read_answer(waxwing_str("{\"Good\":[[\"i-1\",\"c81e\"],7,[\"i-2\"],[\"i-2\",4]],"
+					"\"ValidityMs\":3000}"),
+			    take_permits, text);
+	permits_read_answer(waxwing_str("{\"Good\":[]}"), take_permits, text);
+	permits_read_answer(waxwing_str("{}"), take_permits, text);
+	permits_read_answer(waxwing_str("<html>"), take_permits, text);
+	g_assert_cmpstr(text->str, ==, "1 3000: i-1=c81e;1 0:;0 0:;0 0:;");
+	g_string_free(body, TRUE);
+	g_string_free(text, TRUE);
+}
+
 static void test_job_faulty(void)
 {
 	static const struct {
@@ -345,6 +385,7 @@
 	g_test_add_func("/platform/job", test_job);
 	g_test_add_func("/platform/job_faulty", test_job_faulty);
 	g_test_add_func("/platform/job_repeated", test_job_repeated);
+	g_test_add_func("/platform/permits", test_permits);
 	g_test_add_func("/platform/task_names", test_task_names);
 	return g_test_run();
 }
