Run tasks that fill apart from tasks that serve

They take no room now, start where their Cpu is unused and no task with a target runs, the emptiest executor first, and are stopped when a task with a target has no other place; run times are not learnt from them. Pace, which would let both share an executor, is not served. Tests: /cell/fill/*.

--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -99,7 +99,8 @@
 
 struct waxwing_capacity step_needs(const Waxwing__JobStep *step)
 {
-	return (struct waxwing_capacity){ step->cpu_milli, step->mem_mb, step->gpu };
+	return (struct waxwing_capacity){ step->fills ? 0 : step->cpu_milli, step->mem_mb,
+					  step->gpu };
 }
 
 double step_estimate_ms(const Waxwing__JobStep *step)
@@ -162,7 +163,8 @@
 	const Waxwing__JobStep *spec = job->steps[step].spec;
 
 	job->ready = (uint32_t)((int)job->ready + change);
-	cell->queued_core_ms += change * (double)spec->cpu_milli / 1000 * step_estimate_ms(spec);
+	cell->queued_core_ms +=
+		change * (double)step_needs(spec).cpu_milli / 1000 * step_estimate_ms(spec);
 	if (!job->ready)
 		remove_from_ready(job);
 	else if (!job->place)
@@ -646,8 +648,8 @@
 		if (strcmp(other->spec->service, job->spec->service) != 0)
 			continue;
 		for (size_t i = 0; i < other->spec->n_steps; i++)
-			ahead += other->ready * (double)other->steps[i].spec->cpu_milli / 1000 *
-				 step_work_ms(other, other->steps[i].spec) /
+			ahead += other->ready * (double)step_needs(other->steps[i].spec).cpu_milli /
+				 1000 * step_work_ms(other, other->steps[i].spec) /
 				 (double)other->spec->n_steps;
 	}
 	*wait_ms = (uint32_t)(capacity > 0 ? ahead / capacity : 0);
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -8,6 +8,8 @@
 #define ALIKE_SPEED 0.04
 /* A task waits for a faster executor only if that is faster by so much. */
 #define WORTH_WAITING_SPEED 1.25
+/* Executors where tasks that fill would have to stop for one that serves are taken last. */
+#define MAKE_WAY_SPEED 0.1
 /* Executors that can be reached answer within this after the first did: a look each 200 ms, and its time. */
 #define LISTS_COME_MS 600
 /* Entries that lapsed during a cut are back within two seconds of its end, by the protocol; and a reading of them. */
@@ -85,7 +87,7 @@
 		return false;
 	if (executor->reserved_for && executor->reserved_for != job)
 		return false;
-	if (!permits_allow(job, step, executor))
+	if (!permits_allow(job, step, executor) || !fill_allowed(executor, spec))
 		return false;
 	return !spec->anti_affinity || runs_of_step(executor, job, step) < spec->anti_affinity;
 }
@@ -101,9 +103,24 @@
 		speed /= cell->options.far_factor;
 	if (step->rack && strcmp(step->rack, executor->rack) != 0)
 		speed /= cell->options.far_factor;
+	/* what fills there would have to make way */
+	if (step->spec->target_ms && fill_used_milli(executor))
+		speed *= MAKE_WAY_SPEED;
 	return speed;
 }
 
+/* Of executors that are alike, the fuller one is taken; for tasks that fill, the one that leaves them most. */
+static bool is_worse_fit(const struct executor *executor, const struct executor *best,
+			 const Waxwing__JobStep *spec)
+{
+	uint32_t here = executor->capacity.cpu_milli - executor->used.cpu_milli;
+	uint32_t there = best->capacity.cpu_milli - best->used.cpu_milli;
+
+	if (!spec->fills)
+		return here >= there;
+	return here - fill_used_milli(executor) <= there - fill_used_milli(best);
+}
+
 struct executor *pick_executor(struct waxwing_cell *cell, const struct cell_job *job, uint32_t step,
 			       const struct task *task, int64_t now_ms, double *speed)
 {
@@ -125,8 +142,7 @@
 		if (best && here < best_speed * (1 - ALIKE_SPEED))
 			continue;
 		if (best && here < best_speed * (1 + ALIKE_SPEED) &&
-		    executor->capacity.cpu_milli - executor->used.cpu_milli >=
-			    best->capacity.cpu_milli - best->used.cpu_milli)
+		    is_worse_fit(executor, best, spec))
 			continue;
 		best = executor;
 		best_speed = here;
@@ -216,6 +232,8 @@
 	};
 	struct waxwing_order_target target;
 
+	if (job->steps[run->name.step].spec->target_ms)
+		fill_make_way(cell, executor, now_ms);
 	if (!job->started)
 		waxwing_histogram_add(&cell->start_wait_ms, now_ms - job->arrived_ms);
 	task->last_run = run->name.run;
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -305,6 +305,11 @@
 		       int64_t now_ms);
 void lasting_sweep(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms);
 
+/* cell_fill.c: tasks that take no room */
+uint32_t fill_used_milli(const struct executor *executor);
+bool fill_allowed(const struct executor *executor, const Waxwing__JobStep *spec);
+void fill_make_way(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms);
+
 /* cell_permit.c: steps that only some executors may run, as an outside service says */
 void permits_clear(struct cell_step *step);
 double permits_cost_ms(const Waxwing__Job *spec);
--- a/src/cell/cell_run.c
+++ b/src/cell/cell_run.c
@@ -150,7 +150,9 @@
 	cell->failed += end == WAXWING_RUN_FAILED;
 	cell->lapsed += end == WAXWING_RUN_LAPSED;
 	if (job && end == WAXWING_RUN_DONE && !lasts) {
-		learn(run, now_ms);
+		/* one that fills runs as fast as others let it */
+		if (!job->steps[name.step].spec->fills)
+			learn(run, now_ms);
 		waxwing_breaker_succeeded(&executor->breaker, now_ms);
 	}
 	if (job)
--- /dev/null
+++ b/test/test_cell_fill.c
@@ -0,0 +1,77 @@
+/* One cell with tasks that fill beside tasks that serve. */
+#include "cell_fixture.h"
+
+static void offer_model(struct fixture *fixture, uint64_t id, uint32_t count, uint32_t cpu_milli,
+			bool fills, uint32_t target_ms)
+{
+	Waxwing__JobOffer *offer = make_offer(id, count, cpu_milli, 1000, false, true);
+
+	offer->job->steps[0]->has_fills = offer->job->steps[0]->has_target_ms = true;
+	offer->job->steps[0]->fills = fills;
+	offer->job->steps[0]->target_ms = target_ms;
+	offer->job->steps[0]->has_long_running = offer->job->steps[0]->long_running = target_ms;
+	waxwing_cell_offer(fixture->cell, fixture->now_ms, WAXWING_ISSUER_SELF, offer);
+	store_all(fixture);
+	run(fixture, 20);
+}
+
+/* Tasks that fill take no room from others, and are spread over what is unused. */
+static void test_takes_no_room(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture, false);
+	ready_executor(&fixture, "a", 8000);
+	ready_executor(&fixture, "b", 8000);
+	offer_model(&fixture, 1, 2, 4000, true, 0);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 2);
+	g_assert_cmpstr(start_at(&fixture, 0)->executor, !=, start_at(&fixture, 1)->executor);
+	started(&fixture, 0);
+	started(&fixture, 1);
+	offer(&fixture, 2, 2, 8000, 100, false);
+	run(&fixture, 10);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 4);
+	g_assert_cmpuint(fixture.recorder.stops->len, ==, 0);
+	/* nothing is left unused */
+	offer_model(&fixture, 3, 1, 4000, true, 0);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 4);
+	tear_down(&fixture);
+}
+
+/* Tasks that fill are not started beside one that serves, and make way for one that has no other place. */
+static void test_keeps_apart(void)
+{
+	struct fixture fixture;
+	struct waxwing_ended_row ended = { .number = 1, .end = WAXWING_RUN_STOPPED };
+
+	set_up(&fixture, false);
+	ready_executor(&fixture, "a", 8000);
+	ready_executor(&fixture, "b", 8000);
+	offer_model(&fixture, 1, 1, 2000, false, 40);
+	started(&fixture, 0);
+	offer_model(&fixture, 2, 1, 1000, true, 0);
+	started(&fixture, 1);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 2);
+	g_assert_cmpstr(start_at(&fixture, 0)->executor, !=, start_at(&fixture, 1)->executor);
+	/* fits beside the other that serves */
+	offer_model(&fixture, 3, 1, 6000, false, 40);
+	g_assert_cmpstr(start_at(&fixture, 2)->executor, ==, start_at(&fixture, 0)->executor);
+	g_assert_cmpuint(fixture.recorder.stops->len, ==, 0);
+	/* fits only where the task fills */
+	offer_model(&fixture, 4, 1, 4000, false, 40);
+	g_assert_cmpstr(start_at(&fixture, 3)->executor, ==, start_at(&fixture, 1)->executor);
+	g_assert_cmpuint(fixture.recorder.stops->len, ==, 1);
+	ended.name = start_at(&fixture, 1)->name;
+	answer_hold(&fixture, start_at(&fixture, 1)->life, NULL, 0, &ended, 1);
+	run(&fixture, 500);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 4);
+	tear_down(&fixture);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/cell/fill/takes_no_room", test_takes_no_room);
+	g_test_add_func("/cell/fill/keeps_apart", test_keeps_apart);
+	return g_test_run();
+}
