--- a/src/membership/membership_watch.c
+++ b/src/membership/membership_watch.c
@@ -79,7 +79,8 @@
 void waxwing_watch_review(struct waxwing_membership *membership,
 			  struct waxwing_member_record *member, int64_t now_ms)
 {
-	if (!member->watched || !member->alive ||
+	/* who has never heard it is no witness of its silence */
+	if (!member->watched || !member->alive || member->direct_ms == INT64_MIN ||
 	    member->sequence >= member->direct_sequence + SLACK ||
 	    now_ms - member->direct_ms < (int64_t)membership->dead_after_ms)
 		return;
