--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -22,6 +22,14 @@
 	       executor->used.gpu + needs->gpu <= executor->capacity.gpu;
 }
 
+/* Runs whose needs were not known when others were started can bring it there. */
+static bool is_over_capacity(const struct executor *executor)
+{
+	static const struct waxwing_capacity nothing;
+
+	return !fits(executor, &nothing);
+}
+
 static bool could_fit(const struct executor *executor, const Waxwing__JobStep *step)
 {
 	return step->cpu_milli <= executor->capacity.cpu_milli &&
@@ -268,8 +276,7 @@
 		};
 		guint places = GPOINTER_TO_UINT(g_hash_table_lookup(racks, executor->rack));
 
-		if (!executor_usable(executor, now_ms) ||
-		    !fits(executor, &(struct waxwing_capacity){ 0 }) ||
+		if (!executor_usable(executor, now_ms) || is_over_capacity(executor) ||
 		    !step_could_use(executor, job->spec, at->spec))
 			continue;
 		places += MIN(tasks_that_fit(&room, at->spec), at->spec->count);
@@ -315,8 +322,11 @@
 		for (guint k = 0; k < executor->runs->len; k++) {
 			const struct cell_run *run = executor->runs->pdata[k];
 
-			if (run_lasts(run))
-				room.cpu_milli -= MIN(run->needs.cpu_milli, room.cpu_milli);
+			if (!run_lasts(run))
+				continue;
+			room.cpu_milli -= MIN(run->needs.cpu_milli, room.cpu_milli);
+			room.mem_mb -= MIN(run->needs.mem_mb, room.mem_mb);
+			room.gpu -= MIN(run->needs.gpu, room.gpu);
 		}
 		places = tasks_that_fit(&room, job->steps[step].spec);
 		if (places <= most)
@@ -365,7 +375,7 @@
 }
 
 /* True when every run of a former owner's orders is known, and it can give no more. */
-static bool all_answered(const struct waxwing_cell *cell)
+static bool all_listed(const struct waxwing_cell *cell)
 {
 	if (cell->options.list_incomplete)
 		return false;
@@ -401,7 +411,7 @@
 	for (guint i = 0; i < cell->list->len; i++)
 		((struct executor *)cell->list->pdata[i])->reserved_for = NULL;
 	awaited = g_hash_table_new(NULL, NULL);
-	sure = all_answered(cell);
+	sure = all_listed(cell);
 	while (!g_sequence_iter_is_end(iter)) {
 		struct cell_job *job = g_sequence_get(iter);
 
--- a/src/cell/cell_run.c
+++ b/src/cell/cell_run.c
@@ -296,15 +296,18 @@
 	executor->hold_wanted = true;
 }
 
-/*
- * Another run of the task, or of its gang, has ended as done; this one keeps its room until its executor
- * lists its end.
- */
-void run_cast_off(struct waxwing_cell *cell, struct cell_run *run, bool ends_itself, int64_t now_ms)
+/* The run is its task's no more; it keeps its room until its executor lists its end. */
+static void detach(struct cell_run *run)
 {
-	run->job->out--;
 	run_task(run)->run = NULL;
 	run->job = NULL;
+}
+
+/* Another run of the task, or of its gang, has ended as done. */
+void run_cast_off(struct waxwing_cell *cell, struct cell_run *run, bool ends_itself, int64_t now_ms)
+{
+	run->job->out--;
+	detach(run);
 	if (run->state == RUN_STOPPING)
 		return;
 	if (!ends_itself) {
@@ -315,12 +318,11 @@
 	run->stop_next_ms = now_ms + STOP_AGAIN_MS;
 }
 
-/* The task may run elsewhere now; the run keeps its room until its executor's list shows its end. */
+/* The task may run elsewhere now. */
 void run_release_task(struct waxwing_cell *cell, struct cell_run *run)
 {
 	struct cell_job *job = run->job;
 
-	run_task(run)->run = NULL;
-	run->job = NULL;
+	detach(run);
 	task_waits_again(cell, job, run->name.step, run->name.index);
 }
