--- a/test/test_platform_adapter.c
+++ b/test/test_platform_adapter.c
@@ -43,6 +43,34 @@
 	platform_settings_destroy(settings);
 }
 
+/* The service for permits may be named, left out, or left empty; a faulty address is refused. */
+static void test_settings_permits(void)
+{
+	static const struct {
+		const char *line;
+		const char *address;
+		enum waxwing_error_code code;
+	} rows[] = {
+		{ "", NULL, WAXWING_OK },
+		{ "Advice=\n", NULL, WAXWING_OK },
+		{ "Advice=10.200.1.9:8169\n", "10.200.1.9:8169", WAXWING_OK },
+		{ "Advice=10.200.1.9\n", NULL, WAXWING_ERROR_TYPE },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct waxwing_error error = WAXWING_ERROR_INIT;
+		char *text = g_strconcat(good_settings, rows[i].line, NULL);
+		struct platform_settings *settings = platform_settings_parse(text, &error);
+
+		g_assert_cmpint(error.code, ==, rows[i].code);
+		g_assert_true((settings != NULL) == (rows[i].code == WAXWING_OK));
+		if (settings)
+			g_assert_cmpstr(settings->permits_address, ==, rows[i].address);
+		platform_settings_destroy(settings);
+		g_free(text);
+	}
+}
+
 /* Replaces one line of the good settings; an empty value leaves it out. */
 static char *settings_with(const char *field, const char *value)
 {
@@ -386,6 +414,7 @@
 	g_test_add_func("/platform/job_faulty", test_job_faulty);
 	g_test_add_func("/platform/job_repeated", test_job_repeated);
 	g_test_add_func("/platform/permits", test_permits);
+	g_test_add_func("/platform/settings_permits", test_settings_permits);
 	g_test_add_func("/platform/task_names", test_task_names);
 	return g_test_run();
 }
