One piece each for an occurrence's number, the cell's operations, and the mixes of faults

What stood several times in the change: 'serial ? serial - 1 : 0' five times, now job_occurrence(); a second table of the owner's operations that only left out one, now an option of the cell; three loops over seeds of faults, now mix(). Behaviour, seeds and checks as before. The sanitizers' runs were not repeated whole.

--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -174,7 +174,7 @@
 	void (*hold)(void *data, const struct waxwing_order_target *target, int64_t until_ms,
 		     uint64_t acked_upto, uint32_t wait_ms);
 	void (*verdict)(void *data, uint64_t issuer, const Waxwing__JobVerdict *verdict);
-	/** Answered by waxwing_cell_permits_answered(), once; null: jobs that need permits are refused. */
+	/** Answered by waxwing_cell_permits_answered(), once. */
 	void (*ask_permits)(void *data, const struct waxwing_permit_question *question);
 	/** Writes to the journal; returns the record's number, from 1, rising. */
 	uint64_t (*record)(void *data, const Waxwing__JournalRecord *record);
@@ -222,6 +222,7 @@
 	/** The journal is being read: see waxwing_cell_replay(). */
 	bool recovering;
 	uint32_t status_ms; /**< how long the state of an ended job is told */
+	bool permits; /**< somebody can be asked for them; jobs that need permits are refused otherwise */
 };
 
 struct waxwing_cell *waxwing_cell_create(int64_t now_ms,
--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -618,7 +618,7 @@
 			struct cell_run *run = executor->runs->pdata[k];
 
 			if (!run->job && run->name.job == job->id &&
-			    run->name.occurrence == (job->serial ? job->serial - 1 : 0) &&
+			    run->name.occurrence == job_occurrence(job) &&
 			    job_has_task(job, run->name.step, run->name.index))
 				run_adopt(cell, run, job);
 		}
@@ -688,7 +688,7 @@
 	}
 	for (size_t i = 0; i < spec->n_steps && !before; i++) {
 		if (!step_fits_somewhere(cell, spec, spec->steps[i]) ||
-		    (spec->permits_needed && !cell->options.ops->ask_permits)) {
+		    (spec->permits_needed && !cell->options.permits)) {
 			job_answer_offer(cell, now_ms, issuer, offer, WAXWING_JOB_REFUSED,
 					 WAXWING_ERROR_NO_UPSTREAM, RETRY_AFTER_LEAST_MS * 5);
 			return;
--- a/src/cell/cell_keep.c
+++ b/src/cell/cell_keep.c
@@ -75,7 +75,7 @@
 static void fill_occurrence(Waxwing__JournalRecord *made, const struct cell_job *job)
 {
 	made->has_occurrence = job->serial != 0;
-	made->occurrence = job->serial ? job->serial - 1 : 0;
+	made->occurrence = job_occurrence(job);
 }
 
 static void fill_task(Waxwing__JournalRecord *made, const struct cell_job *job, uint32_t step,
--- a/src/cell/cell_permit.c
+++ b/src/cell/cell_permit.c
@@ -120,7 +120,7 @@
 {
 	struct waxwing_permit_question question = {
 		.job = job->id,
-		.occurrence = job->serial ? job->serial - 1 : 0,
+		.occurrence = job_occurrence(job),
 		.step = step,
 	};
 	GPtrArray *candidates;
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -214,8 +214,7 @@
 			    uint32_t index, uint32_t number, struct executor *executor,
 			    int64_t now_ms)
 {
-	uint32_t occurrence = job->serial ? job->serial - 1 : 0;
-	struct waxwing_run_name name = { job->id, occurrence, step, index, number };
+	struct waxwing_run_name name = { job->id, job_occurrence(job), step, index, number };
 	struct waxwing_capacity needs = step_needs(job->steps[step].spec);
 	struct cell_run *run = run_create(cell, executor, &name, &needs);
 
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -376,6 +376,12 @@
 bool step_fits_somewhere(const struct waxwing_cell *cell, const Waxwing__Job *spec,
 			 const Waxwing__JobStep *step);
 
+/* The occurrence that the job is; 0 of one that runs once. */
+static inline uint32_t job_occurrence(const struct cell_job *job)
+{
+	return job->serial ? job->serial - 1 : 0;
+}
+
 static inline bool run_lasts(const struct cell_run *run)
 {
 	return run->job && run->job->steps[run->name.step].spec->long_running;
--- a/src/cell/cell_repeat.c
+++ b/src/cell/cell_repeat.c
@@ -89,8 +89,8 @@
 {
 	struct cell_job *whole = job->whole;
 
-	keep_occurrence_end(cell, whole, job->serial - 1);
-	whole->repeats->done[job->serial - 1] = true;
+	keep_occurrence_end(cell, whole, job_occurrence(job));
+	whole->repeats->done[job_occurrence(job)] = true;
 	whole->undone--;
 	repeats_close(cell, job, now_ms);
 	if (!whole->undone)
--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -258,17 +258,6 @@
 		      (unsigned long long)owner->fencing_token, executor);
 }
 
-static const struct waxwing_cell_ops cell_ops_without_permits = {
-	.start = order_start,
-	.stop = order_stop,
-	.hold = order_hold,
-	.verdict = give_verdict,
-	.record = add_record,
-	.forget = forget_job,
-	.told = tell_state,
-	.fenced = note_fenced,
-};
-
 static const struct waxwing_cell_ops cell_ops = {
 	.start = order_start,
 	.stop = order_stop,
@@ -414,7 +403,8 @@
 {
 	struct waxwing_node *node = at->node;
 	struct waxwing_cell_options options = {
-		.ops = node->options.permits ? &cell_ops : &cell_ops_without_permits,
+		.ops = &cell_ops,
+		.permits = node->options.permits != NULL,
 		.data = at,
 		.name = at->name,
 		.fencing_token = token,
--- a/test/cell_fixture.h
+++ b/test/cell_fixture.h
@@ -159,6 +159,7 @@
 		.recovering = recovering,
 		.list_incomplete = recovering,
 		.status_ms = 120000,
+		.permits = true,
 	};
 
 	*fixture = (struct fixture){ .now_ms = 1000 };
--- a/test/test_node_faults.c
+++ b/test/test_node_faults.c
@@ -751,22 +751,29 @@
 	world_destroy(world);
 }
 
-static void test_mix_permits(void)
+/* Faults of all kinds, in series and overlapping, on each seed's world as @prepare leaves it. */
+static void mix(uint32_t seeds, void (*prepare)(struct world *world, uint32_t seed), bool jumps)
 {
 	uint32_t first = seed_or("WAXWING_TEST_FIRST", 1);
-	uint32_t last = seed_or("WAXWING_TEST_LAST", MIX_SEEDS / 4);
+	uint32_t last = seed_or("WAXWING_TEST_LAST", seeds);
 
 	for (uint32_t seed = first; seed <= last; seed++) {
 		struct world *world = begin(seed);
 
 		g_test_message("seed %u", seed);
-		world->kept_share = 0.4;
-		world->permit_share = 0.5;
-		world->permits_lost_share = 0.05;
+		prepare(world, seed);
 		for (int64_t passed = 0; passed < MIX_MS; passed += FAULT_MS) {
+			struct world_node *at = NULL;
+
+			if (jumps) {
+				at = &world->nodes[g_rand_int_range(world->random, 0, NODES)];
+				node_jump(world, at, g_rand_int_range(world->random, -2000, 2000));
+			}
 			begin_fault(world);
 			serve(world, FAULT_MS);
 			end_faults(world, 0.35);
+			if (at)
+				node_jump(world, at, 0);
 		}
 		end_faults(world, 1);
 		assert_all_answered(world);
@@ -774,54 +781,41 @@
 	}
 }
 
-/* Jobs at set times among others, with faults of all kinds and clocks that jump. */
-static void test_mix_repeated(void)
+static void prepare_kept(struct world *world, uint32_t seed)
 {
-	uint32_t first = seed_or("WAXWING_TEST_FIRST", 1);
-	uint32_t last = seed_or("WAXWING_TEST_LAST", MIX_SEEDS / 2);
-
-	for (uint32_t seed = first; seed <= last; seed++) {
-		struct world *world = begin(seed);
+	world->kept_share = seed % 2 ? 0.4 : 0;
+}
 
-		g_test_message("seed %u", seed);
-		world->kept_share = 0.5;
-		world->repeated_share = 0.4;
-		for (int64_t passed = 0; passed < MIX_MS; passed += FAULT_MS) {
-			int node = g_rand_int_range(world->random, 0, NODES);
+static void prepare_permits(struct world *world, uint32_t seed)
+{
+	(void)seed;
+	world->kept_share = 0.4;
+	world->permit_share = 0.5;
+	world->permits_lost_share = 0.05;
+}
 
-			node_jump(world, &world->nodes[node],
-				  g_rand_int_range(world->random, -2000, 2000));
-			begin_fault(world);
-			serve(world, FAULT_MS);
-			end_faults(world, 0.35);
-			node_jump(world, &world->nodes[node], 0);
-		}
-		end_faults(world, 1);
-		assert_all_answered(world);
-		world_destroy(world);
-	}
+static void prepare_repeated(struct world *world, uint32_t seed)
+{
+	(void)seed;
+	world->kept_share = 0.5;
+	world->repeated_share = 0.4;
 }
 
-/* Faults of all kinds, in series and overlapping. Seeds that once failed stay. */
+/* Seeds that once failed stay. */
 static void test_mix(void)
 {
-	uint32_t first = seed_or("WAXWING_TEST_FIRST", 1);
-	uint32_t last = seed_or("WAXWING_TEST_LAST", MIX_SEEDS);
+	mix(MIX_SEEDS, prepare_kept, false);
+}
 
-	for (uint32_t seed = first; seed <= last; seed++) {
-		struct world *world = begin(seed);
+static void test_mix_permits(void)
+{
+	mix(MIX_SEEDS / 4, prepare_permits, false);
+}
 
-		g_test_message("seed %u", seed);
-		world->kept_share = seed % 2 ? 0.4 : 0;
-		for (int64_t passed = 0; passed < MIX_MS; passed += FAULT_MS) {
-			begin_fault(world);
-			serve(world, FAULT_MS);
-			end_faults(world, 0.35);
-		}
-		end_faults(world, 1);
-		assert_all_answered(world);
-		world_destroy(world);
-	}
+/* Jobs at set times among others, with clocks that jump. */
+static void test_mix_repeated(void)
+{
+	mix(MIX_SEEDS / 2, prepare_repeated, true);
 }
 
 int main(int argc, char **argv)
