src/cell: a run whose start is unconfirmed does not end by a list without it

Cause: a start order without an answer within 200 ms is stopped. While the stop order was not answered either, a list of runs that was requested after the start was sent and left the run out ended it, and its task was started elsewhere. But the start order was still on its way (290 ms, a link of 2 Mbit/s that carried a large answer of the store), so two runs of the task were at work. In the same way the capacity of a job whose caller had left was free too early. Now only a run that is known to have started (answered, listed, or its stop order answered) ends by a list that leaves it out. Tests /cell/start_delayed/* failed before.

--- a/src/cell/cell_hold.c
+++ b/src/cell/cell_hold.c
@@ -127,6 +127,7 @@
 	if (run->job)
 		task_set_checkpoint(checkpoint_task(run->job, run->id.step, run->id.index),
 				    row->checkpoint);
+	run->start_unconfirmed = false;
 	if (run->state == RUN_STARTING) {
 		run->state = RUN_RUNNING;
 		run->started_ms = now_ms;
@@ -151,9 +152,8 @@
 {
 	for (guint i = executor->runs->len; i-- > 0;) {
 		struct cell_run *run = executor->runs->pdata[i];
-		bool started = run->state == RUN_RUNNING || run->state == RUN_STOPPING;
 
-		if (started && run->started_ms < executor->hold_sent_ms &&
+		if (!run->start_unconfirmed && run->started_ms < executor->hold_sent_ms &&
 		    !is_listed(answer, run)) {
 			waxwing_event("run_vanished", "executor=%s job=%016llx run=%u",
 				      executor->id, (unsigned long long)run->id.job, run->id.run);
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -235,6 +235,7 @@
 
 	run->job = job;
 	run->state = RUN_STARTING;
+	run->start_unconfirmed = true;
 	run->started_ms = now_ms;
 	waxwing_breaker_task_started(&executor->breaker);
 	return run;
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -179,6 +179,11 @@
 	struct executor *executor;
 	struct waxwing_capacity needs;
 	enum run_state state;
+	/*
+	 * whether the run started is not known: its start order may arrive later. A list of runs
+	 * without it does not show that it ended.
+	 */
+	bool start_unconfirmed;
 	int64_t started_ms; /* when the start was answered, or sent if not answered */
 	int64_t next_stop_ms; /* when to repeat the stop order */
 	int64_t stop_deadline_ms; /* time by which a stopped run has ended; 0: stop is repeated */
--- a/src/cell/cell_run.c
+++ b/src/cell/cell_run.c
@@ -226,6 +226,7 @@
 		gang_of = run->job;
 	switch (answer) {
 	case WAXWING_START_RUNNING:
+		run->start_unconfirmed = false;
 		run->started_ms = now_ms;
 		if (run->state == RUN_STARTING)
 			run->state = RUN_RUNNING;
@@ -293,6 +294,7 @@
 	 * The run ends within stop_ms, and a later start of it is rejected. If it ran, a hold lists
 	 * its end; if it never ran, the first hold sent after that time does not list it.
 	 */
+	run->start_unconfirmed = false;
 	run->started_ms = now_ms + cell->options.stop_ms;
 	run->stop_deadline_ms = now_ms + cell->options.stop_ms + REMOTE_TIME_MARGIN_MS;
 	executor->hold_requested = true;
--- a/test/test_cell.c
+++ b/test/test_cell.c
@@ -314,6 +314,57 @@
 	tear_down(&fixture);
 }
 
+/*
+ * A start order that is delayed on its way is not listed yet. Neither its task nor its capacity is
+ * free before the stop order was answered, however many lists of runs leave it out.
+ */
+static void test_start_delayed(bool caller_leaves)
+{
+	struct fixture fixture;
+	struct start *first;
+	uint64_t handle;
+
+	set_up(&fixture, false);
+	handle = ready_executor(&fixture, "a", 8000);
+	offer(&fixture, 1, 1, 6000, 1000, false);
+	advance(&fixture, 10);
+	first = start_at(&fixture, 0);
+	if (caller_leaves) {
+		waxwing_cell_withdraw(fixture.cell, fixture.now_ms, 1);
+		offer(&fixture, 2, 1, 6000, 1000, false);
+	} else {
+		ready_executor(&fixture, "b", 8000);
+		waxwing_cell_start_answered(fixture.cell, fixture.now_ms, handle, &first->run_id,
+					    WAXWING_START_UNKNOWN, 0);
+	}
+	g_assert_cmpuint(fixture.recorder.stops->len, ==, 1);
+	for (int lists = 0; lists < 5; lists++) {
+		advance(&fixture, 20);
+		answer_hold(&fixture, handle, NULL, 0, NULL, 0);
+	}
+	advance(&fixture, 20);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 1);
+	first = start_at(&fixture, 0);
+	waxwing_cell_stop_answered(fixture.cell, fixture.now_ms, handle, &first->run_id, true);
+	for (int lists = 0; lists < 5; lists++) {
+		advance(&fixture, STOP_MS);
+		answer_hold(&fixture, handle, NULL, 0, NULL, 0);
+	}
+	advance(&fixture, 20);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 2);
+	tear_down(&fixture);
+}
+
+static void test_delayed_start_of_task(void)
+{
+	test_start_delayed(false);
+}
+
+static void test_delayed_start_of_left_job(void)
+{
+	test_start_delayed(true);
+}
+
 /*
  * A restart of an executor under the same id ends its runs, and its ends are numbered from 1 again.
  */
@@ -413,6 +464,8 @@
 	g_test_add_func("/cell/adopts_later_step", test_adopts_later_step);
 	g_test_add_func("/cell/lists_after_a_cut", test_lists_after_partition);
 	g_test_add_func("/cell/start_unanswered", test_start_unanswered);
+	g_test_add_func("/cell/start_delayed/task", test_delayed_start_of_task);
+	g_test_add_func("/cell/start_delayed/left_job", test_delayed_start_of_left_job);
 	g_test_add_func("/cell/new_life", test_new_incarnation);
 	g_test_add_func("/cell/refuses_hopeless", test_refuses_late_job);
 	g_test_add_func("/cell/never_fits", test_never_fits);
