src/net, src/node: a large configuration arrives over a slow link, and is looked up by hash

Cause: a call of the store had 1 s (and the watch's wait) from connecting to the end of the response. Now the timeout counts from one part of the response to the next. Also a request's queue is found by one hash lookup for each length of prefix in place of a scan of all routes.

--- a/src/net/http_calls.c
+++ b/src/net/http_calls.c
@@ -11,10 +11,15 @@
 /* Longest accepted response body; a page of the store's list fits with a margin. */
 #define MAX_RESPONSE_BYTES (8 * 1024 * 1024)
 #define MAX_IDLE_HANDLES   64
+/* Interval between checks for stalled responses, and thus the accuracy of their timeouts. */
+#define STALL_CHECK_MS 50
 
 struct waxwing_http_calls {
 	uv_loop_t *loop;
-	uv_timer_t timer;
+	uv_timer_t timer; /* for libcurl */
+	uv_timer_t stall_timer; /* runs while there are calls with a stall timeout */
+	uint32_t stall_timer_calls; /* number of active calls with a stall timeout */
+	uint32_t open_timers; /* timers that are not closed yet */
 	CURLM *multi;
 	GPtrArray *idle_handles; /* CURL handles kept for reuse */
 	GHashTable *active_calls; /* set of struct http_call */
@@ -33,6 +38,8 @@
 	struct curl_slist *headers;
 	GString *response;
 	char *request_body;
+	uint64_t deadline_ms; /* loop time at which the call has stalled */
+	uint32_t stall_timeout_ms; /* 0: libcurl's timeout applies */
 	void (*done)(void *data, const struct waxwing_http_call_result *result);
 	void *data;
 };
@@ -59,6 +66,8 @@
 
 	if (call->response->len + size * count > MAX_RESPONSE_BYTES)
 		return 0;
+	if (call->stall_timeout_ms)
+		call->deadline_ms = uv_now(call->calls->loop) + call->stall_timeout_ms;
 	g_string_append_len(call->response, data, (gssize)(size * count));
 	return size * count;
 }
@@ -79,6 +88,12 @@
 	return WAXWING_HTTP_BROKEN;
 }
 
+static void stop_stall_timer(struct waxwing_http_calls *calls, const struct http_call *call)
+{
+	if (call->stall_timeout_ms && --calls->stall_timer_calls == 0)
+		uv_timer_stop(&calls->stall_timer);
+}
+
 static void finish_call(struct waxwing_http_calls *calls, CURL *handle, CURLcode code)
 {
 	struct waxwing_http_call_result result = { .end = curl_code_to_http_end(handle, code) };
@@ -93,6 +108,7 @@
 	}
 	curl_multi_remove_handle(calls->multi, handle);
 	g_hash_table_remove(calls->active_calls, call);
+	stop_stall_timer(calls, call);
 	call->done(call->data, &result);
 	http_call_free(call);
 }
@@ -107,6 +123,30 @@
 			finish_call(calls, message->easy_handle, message->data.result);
 }
 
+static void finish_stalled_calls(uv_timer_t *timer)
+{
+	struct waxwing_http_calls *calls = timer->data;
+	GList *active = g_hash_table_get_keys(calls->active_calls);
+
+	for (GList *item = active; item; item = item->next) {
+		const struct http_call *call = item->data;
+
+		if (call->stall_timeout_ms && uv_now(calls->loop) >= call->deadline_ms)
+			finish_call(calls, call->handle, CURLE_OPERATION_TIMEDOUT);
+	}
+	g_list_free(active);
+}
+
+static void start_stall_timer(struct waxwing_http_calls *calls, struct http_call *call,
+			      uint32_t first_timeout_ms)
+{
+	uv_update_time(calls->loop);
+	call->deadline_ms = uv_now(calls->loop) + first_timeout_ms;
+	if (calls->stall_timer_calls++ == 0)
+		uv_timer_start(&calls->stall_timer, finish_stalled_calls, STALL_CHECK_MS,
+			       STALL_CHECK_MS);
+}
+
 static void socket_ready(uv_poll_t *poll, int status, int events)
 {
 	struct socket_watch *watch = poll->data;
@@ -196,6 +236,9 @@
 	calls->multi = curl_multi_init();
 	uv_timer_init(loop, &calls->timer);
 	calls->timer.data = calls;
+	uv_timer_init(loop, &calls->stall_timer);
+	calls->stall_timer.data = calls;
+	calls->open_timers = 2;
 	curl_multi_setopt(calls->multi, CURLMOPT_SOCKETFUNCTION, update_socket_watch);
 	curl_multi_setopt(calls->multi, CURLMOPT_SOCKETDATA, calls);
 	curl_multi_setopt(calls->multi, CURLMOPT_TIMERFUNCTION, update_curl_timer);
@@ -204,9 +247,12 @@
 	return calls;
 }
 
-static void calls_free(uv_handle_t *handle)
+static void timer_closed(uv_handle_t *handle)
 {
-	g_free(handle->data);
+	struct waxwing_http_calls *calls = handle->data;
+
+	if (--calls->open_timers == 0)
+		g_free(calls);
 }
 
 void waxwing_http_calls_destroy(struct waxwing_http_calls *calls)
@@ -228,7 +274,8 @@
 		curl_easy_cleanup(calls->idle_handles->pdata[i]);
 	g_ptr_array_free(calls->idle_handles, TRUE);
 	curl_multi_cleanup(calls->multi);
-	uv_close((uv_handle_t *)&calls->timer, calls_free);
+	uv_close((uv_handle_t *)&calls->timer, timer_closed);
+	uv_close((uv_handle_t *)&calls->stall_timer, timer_closed);
 }
 
 void waxwing_http_calls_send(struct waxwing_http_calls *calls,
@@ -271,7 +318,11 @@
 	curl_easy_setopt(handle, CURLOPT_PROXY, "");
 	curl_easy_setopt(handle, CURLOPT_BUFFERSIZE, (long)RECEIVE_BUFFER_BYTES);
 	curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, (long)options->connect_timeout_ms);
-	curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, (long)options->timeout_ms);
+	call->stall_timeout_ms = options->stall_timeout_ms;
+	if (call->stall_timeout_ms)
+		start_stall_timer(calls, call, options->timeout_ms);
+	else
+		curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, (long)options->timeout_ms);
 	g_hash_table_add(calls->active_calls, call);
 	curl_multi_add_handle(calls->multi, handle);
 	g_free(url);
--- a/src/net/http_calls.h
+++ b/src/net/http_calls.h
@@ -32,6 +32,12 @@
 	const char *headers[WAXWING_HTTP_CALL_MAX_HEADERS]; /**< "Name: value"; null: none */
 	uint32_t connect_timeout_ms; /**< for establishing the connection */
 	uint32_t timeout_ms; /**< for the whole call, including the connection */
+	/**
+	 * Maximum time without a part of the response once its first part has arrived; timeout_ms
+	 * then applies no longer. Lets a large response take its time on a slow link. 0: timeout_ms
+	 * applies to the whole call.
+	 */
+	uint32_t stall_timeout_ms;
 	void (*done)(void *data, const struct waxwing_http_call_result *result);
 	void *data;
 };
--- a/src/node/routing.h
+++ b/src/node/routing.h
@@ -48,19 +48,28 @@
 	GPtrArray *queues; /**< struct waxwing_queue_route */
 	GPtrArray *services; /**< struct waxwing_service_route */
 	struct waxwing_request_limits limits;
+	GHashTable *queues_by_path; /**< host and prefix of a queue -> struct waxwing_queue_route */
+	GArray *prefix_lengths; /**< size_t: lengths of the prefixes, each once, longest first */
 };
 
-/** Creates an empty table. Fill its arrays, then treat it as immutable. */
+/** Creates an empty table. Fill it, then treat it as immutable. */
 struct waxwing_routing *waxwing_routing_create(uint64_t version);
 void waxwing_routing_destroy(struct waxwing_routing *routing);
 
-/** Adds an empty queue or service that the table owns. */
-struct waxwing_queue_route *waxwing_routing_add_queue(struct waxwing_routing *routing);
+/**
+ * Adds a queue for requests to @host, without port and in any case, whose path begins with @prefix.
+ * The table owns it. A later queue of the same host and prefix takes an earlier one's place.
+ */
+struct waxwing_queue_route *waxwing_routing_add_queue(struct waxwing_routing *routing,
+						      const char *host, const char *prefix);
+
+/** Adds an empty service that the table owns. */
 struct waxwing_service_route *waxwing_routing_add_service(struct waxwing_routing *routing);
 
 /**
  * Returns the queue of @host with the longest prefix of @path; null if there is none. @host may
- * include a port.
+ * include a port. Takes one hash lookup for each distinct length of prefix, however many queues
+ * there are.
  */
 const struct waxwing_queue_route *waxwing_routing_find(const struct waxwing_routing *routing,
 						       struct waxwing_str host,
--- a/test/test_platform_adapter.c
+++ b/test/test_platform_adapter.c
@@ -247,6 +247,11 @@
 		"{\"Version\":1}",
 		"{\"Version\":1,\"Routes\":[{}],\"Services\":[]}",
 		"{\"Version\":-1,\"Routes\":[],\"Services\":[]}",
+		"{\"Version\":1,\"Routes\":[null],\"Services\":[]}",
+		"{\"Version\":1,\"Routes\":[[1,2]],\"Services\":[]}",
+		"{\"Version\":1,\"Routes\":{},\"Services\":[]}",
+		"{\"Version\":\"1\",\"Routes\":[],\"Services\":[]}",
+		"[{\"Version\":1,\"Routes\":[],\"Services\":[]}]",
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
@@ -254,6 +259,49 @@
 
 		g_assert_null(platform_read_routing(&item));
 	}
+	/* a configuration that is cut off anywhere is rejected as a whole */
+	for (size_t len = 0; len < strlen(routing_value); len++) {
+		struct waxwing_store_item item = make_item("op/config", routing_value);
+
+		item.value.len = len;
+		g_assert_null(platform_read_routing(&item));
+	}
+}
+
+/* Ten thousand routes: each is found, and a request needs few lookups. */
+static void test_routing_large(void)
+{
+	GString *text = g_string_new("{\"Version\":9,\"Services\":[],\"Routes\":[");
+	struct waxwing_store_item item;
+	struct waxwing_routing *routing;
+
+	for (int i = 0; i < 10000; i++)
+		g_string_append_printf(text,
+				       "%s{\"Name\":\"q%d\",\"Host\":\"h%d.example\","
+				       "\"Prefix\":\"/p%d/\",\"Service\":\"absent\"}",
+				       i ? "," : "", i, i % 3, i);
+	g_string_append(text, "]}");
+	item = make_item("op/config", text->str);
+	routing = platform_read_routing(&item);
+	g_assert_nonnull(routing);
+	g_assert_cmpuint(routing->queues->len, ==, 10000);
+	g_assert_cmpuint(routing->prefix_lengths->len, ==, 4);
+	for (int i = 0; i < 10000; i++) {
+		char host[32];
+		char path[32];
+		char name[16];
+
+		g_snprintf(host, sizeof(host), "h%d.example", i % 3);
+		g_snprintf(path, sizeof(path), "/p%d/5c0e7a21d94b36f8", i);
+		g_snprintf(name, sizeof(name), "q%d", i);
+		g_assert_cmpstr(
+			waxwing_routing_find(routing, waxwing_str(host), waxwing_str(path))->name,
+			==, name);
+		g_snprintf(path, sizeof(path), "/p%d", i);
+		g_assert_null(waxwing_routing_find(routing, waxwing_str(host), waxwing_str(path)));
+	}
+	waxwing_routing_destroy(routing);
+	g_string_free(text, TRUE);
 }
 
 static Waxwing__Job *read_job(const char *body, struct waxwing_error *error)
@@ -413,6 +461,7 @@
 	g_test_add_func("/platform/executor_entry_faulty", test_executor_entry_faulty);
 	g_test_add_func("/platform/routing", test_routing);
 	g_test_add_func("/platform/routing_faulty", test_routing_faulty);
+	g_test_add_func("/platform/routing_large", test_routing_large);
 	g_test_add_func("/platform/job", test_job);
 	g_test_add_func("/platform/job_faulty", test_job_faulty);
 	g_test_add_func("/platform/job_repeated", test_job_repeated);
