src/node: only a cell's owner and its standby follow the executors' entries

Cause: each node watched all executors' entries, which change with each heartbeat: 75 kB every 2 s at 120 executors on a link of 2 Mbit/s (300 ms during which offers, pongs and answers wait), 690 kB at 1,100 executors on 20 Mbit/s (276 ms). That is a load by the size of the fleet, on each node, for the few that ever own a cell. Now an owner names the issuer that would claim its cell first as standby in its pongs; these two follow the entries every 0.4 s, all others read them when they are about to claim a cell, and claim nothing before they know them. Message: CellPing.claim_delay_ms and CellPong.standby, both optional.

--- a/src/node/cell_claim.c
+++ b/src/node/cell_claim.c
@@ -332,6 +332,12 @@
 	       claim->options.owner_reachable(claim->options.data);
 }
 
+bool waxwing_cell_claim_is_due(const struct waxwing_cell_claim *claim)
+{
+	return !claim->leaving && !claim->owner.known && claim->vacant_since_ms &&
+	       now(claim) >= claim->next_call_ms && !yields_to_owner(claim);
+}
+
 void waxwing_cell_claim_run(struct waxwing_cell_claim *claim)
 {
 	struct waxwing_store *store = claim->options.store;
@@ -350,7 +356,8 @@
 	else if (!claim->owner.known && claim->vacant_since_ms && !claim->lease)
 		store->ops->grant_lease(store, claim->options.ttl_ms,
 					begin_call(claim, CALL_GRANT_LEASE));
-	else if (!claim->owner.known && claim->vacant_since_ms)
+	else if (!claim->owner.known && claim->vacant_since_ms &&
+		 claim->options.prepared(claim->options.data))
 		send_claim(claim);
 }
 
--- a/src/node/cell_claim.h
+++ b/src/node/cell_claim.h
@@ -46,6 +46,8 @@
 	 * owner may then claim the cell again before other nodes do.
 	 */
 	bool (*owner_reachable)(void *data);
+	/** Returns true once this node knows enough to serve the cell; until then it claims nothing. */
+	bool (*prepared)(void *data);
 	void *data;
 };
 
@@ -76,6 +78,9 @@
 /** Releases the cell, if owned, and makes no further claims: the node is shutting down. */
 void waxwing_cell_claim_release(struct waxwing_cell_claim *claim);
 
+/** Returns true if this node is about to claim the cell, and therefore should prepare to serve it. */
+bool waxwing_cell_claim_is_due(const struct waxwing_cell_claim *claim);
+
 /** Sends the calls that are due. Call at least every 50 ms. */
 void waxwing_cell_claim_run(struct waxwing_cell_claim *claim);
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -7,12 +7,11 @@
 #include <glib.h>
 
 /*
- * Minimum intervals between calls that watch the executors' entries. The entries change with each
+ * Minimum interval between calls that watch the executors' entries. The entries change with each
  * heartbeat, and the rate of calls to the store is limited and shared by all nodes. An owner must
  * learn of a draining executor well within the time that the executor is given to drain.
  */
-#define OWNER_ENTRIES_INTERVAL_MS 400
-#define ENTRIES_INTERVAL_MS	  2000
+#define ENTRIES_INTERVAL_MS 400
 
 /*
  * By the platform's protocol, entries that expired while the store was down return within two
@@ -38,6 +37,9 @@
 	struct waxwing_node *node = data;
 	int64_t now_ms = node_now(node);
 
+	/* entries may have expired before this node first called the store */
+	if (!node->list_complete_ms)
+		node->list_complete_ms = now_ms + ENTRIES_RETURN_MS;
 	if (reached) {
 		node->store_reached_ms = now_ms;
 		if (node->store_lost_ms) {
@@ -57,18 +59,6 @@
 	}
 }
 
-/*
- * Entries may have expired before this node first called the store, so it waits for their return.
- */
-static void executors_reached(void *data, bool reached)
-{
-	struct waxwing_node *node = data;
-
-	if (!node->list_complete_ms)
-		node->list_complete_ms = node_now(node) + ENTRIES_RETURN_MS;
-	store_reached(node, reached);
-}
-
 static void routing_changed(void *data, const struct waxwing_store_item *item)
 {
 	struct waxwing_node *node = data;
@@ -105,11 +95,6 @@
 	g_free(key);
 }
 
-static void executor_entry_changed(void *data, const struct waxwing_store_item *item)
-{
-	node_executors_changed(data, item);
-}
-
 static struct waxwing_store_watch *
 create_watch(struct waxwing_node *node, const char *prefix, uint32_t wait_ms,
 	     void (*changed)(void *data, const struct waxwing_store_item *item),
@@ -142,14 +127,6 @@
 	node_queries_process_answers(node);
 }
 
-static bool owns_cell(const struct waxwing_node *node)
-{
-	for (guint i = 0; i < node->cells->len; i++)
-		if (((const struct node_cell *)node->cells->pdata[i])->owned)
-			return true;
-	return false;
-}
-
 void waxwing_node_run(struct waxwing_node *node)
 {
 	int64_t now_ms = node_now(node);
@@ -157,14 +134,11 @@
 	if (node->last_run_ms && now_ms - node->last_run_ms >= STALL_MS)
 		waxwing_event("stalled", "stood_ms=%lld", (long long)(now_ms - node->last_run_ms));
 	node->last_run_ms = now_ms;
-	waxwing_store_watch_set_interval(node->executor_watch, owns_cell(node) ?
-								       OWNER_ENTRIES_INTERVAL_MS :
-								       ENTRIES_INTERVAL_MS);
 	waxwing_store_watch_run(node->routing_watch);
 	waxwing_store_watch_run(node->owner_watch);
 	waxwing_store_watch_run(node->executor_watch);
-	if (waxwing_store_watch_synced(node->owner_watch) &&
-	    waxwing_store_watch_synced(node->executor_watch))
+	node_entries_run(node, now_ms);
+	if (waxwing_store_watch_synced(node->owner_watch))
 		for (guint i = 0; i < node->cells->len; i++)
 			waxwing_cell_claim_set_synced(
 				((struct node_cell *)node->cells->pdata[i])->claim);
@@ -185,8 +159,7 @@
 	node->next_ownership_id = 1;
 	node->cells = g_ptr_array_new();
 	node->queries = g_ptr_array_new_with_free_func(g_free);
-	node->executor_entries =
-		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, node_entry_free);
+	node_entries_create(node);
 	node->query_answers = g_ptr_array_new_with_free_func(g_free);
 	node->verdicts = g_ptr_array_new_with_free_func(g_free);
 	node->pending_jobs =
@@ -197,7 +170,8 @@
 	node->owner_watch = create_watch(node, WAXWING_CELL_OWNER_PREFIX, WATCH_WAIT_MS,
 					 owner_entry_changed, store_reached);
 	node->executor_watch = create_watch(node, options->executor_prefix, ENTRIES_WATCH_WAIT_MS,
-					    executor_entry_changed, executors_reached);
+					    node_entries_changed, store_reached);
+	waxwing_store_watch_set_interval(node->executor_watch, ENTRIES_INTERVAL_MS);
 	return node;
 }
 
@@ -214,7 +188,7 @@
 	g_ptr_array_free(node->verdicts, TRUE);
 	g_ptr_array_free(node->queries, TRUE);
 	g_ptr_array_free(node->query_answers, TRUE);
-	g_hash_table_destroy(node->executor_entries);
+	node_entries_destroy(node);
 	g_free(node);
 }
 
--- a/src/node/node_cells.c
+++ b/src/node/node_cells.c
@@ -46,6 +46,13 @@
 	       node_now(cell->node) - cell->last_pong_ms < WAXWING_PEER_TIMEOUT_MS;
 }
 
+static bool is_prepared(void *data)
+{
+	const struct node_cell *cell = data;
+
+	return node_entries_known(cell->node);
+}
+
 static uint32_t claim_delay_ms(const struct waxwing_node *node, const char *cell)
 {
 	uint32_t spread = (uint32_t)(node->incarnation >> 32) % CLAIM_SPREAD_MS;
@@ -71,12 +78,14 @@
 			.delay_ms = claim_delay_ms(node, node->options.zones[i]),
 			.owner_changed = owner_changed,
 			.owner_reachable = owner_is_reachable,
+			.prepared = is_prepared,
 			.data = cell,
 		};
 
 		cell->node = node;
 		cell->index = (uint32_t)i;
 		cell->name = g_strdup(node->options.zones[i]);
+		cell->claim_delay_ms = options.delay_ms;
 		cell->claim = waxwing_cell_claim_create(&options);
 		cell->owner_key = waxwing_cell_claim_key(cell->name);
 		cell->waiting_jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -159,6 +168,8 @@
 		tokens[i] = waxwing_cell_claim_owner(((struct node_cell *)cells->pdata[i])->claim)
 				    ->fencing_token;
 	ping.known_tokens = tokens;
+	ping.has_claim_delay_ms = !cell->node->leaving;
+	ping.claim_delay_ms = cell->claim_delay_ms;
 	message.ping = &ping;
 	node_send(cell, &message);
 }
@@ -223,6 +234,7 @@
 	cell->free_milli = pong->free_milli;
 	cell->wait_ms = pong->wait_ms;
 	cell->rejects_durable_jobs = pong->keeps_none;
+	cell->is_standby = pong->standby;
 	g_hash_table_remove_all(cell->waiting_jobs);
 	for (size_t i = 0; i < pong->n_waiting; i++)
 		g_hash_table_insert(cell->waiting_jobs, g_strdup(pong->waiting[i]->queue),
--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -346,73 +346,6 @@
 	return waxwing_journal_create(&options);
 }
 
-static const char *executor_id(const struct waxwing_node *node, const char *key)
-{
-	size_t len = strlen(node->options.executor_prefix);
-
-	return strncmp(key, node->options.executor_prefix, len) == 0 ? key + len : key;
-}
-
-static void add_executor(void *data, const struct waxwing_executor_entry *entry)
-{
-	struct waxwing_node *node = data;
-
-	for (guint i = 0; i < node->cells->len; i++) {
-		struct node_cell *cell = node->cells->pdata[i];
-
-		if (cell->owned && strcmp(cell->name, entry->zone) == 0)
-			waxwing_cell_set_executor(cell->owned, node_now(node), entry);
-	}
-	node->has_events = true;
-}
-
-static void remove_executor(struct waxwing_node *node, const char *key)
-{
-	for (guint i = 0; i < node->cells->len; i++) {
-		struct node_cell *cell = node->cells->pdata[i];
-
-		if (cell->owned)
-			waxwing_cell_unlist_executor(cell->owned, node_now(node),
-						     executor_id(node, key));
-	}
-}
-
-void node_entry_free(gpointer value)
-{
-	struct waxwing_store_item *entry = value;
-
-	g_free((char *)entry->key.data);
-	g_free((char *)entry->value.data);
-	g_free(entry);
-}
-
-void node_executors_changed(struct waxwing_node *node, const struct waxwing_store_item *item)
-{
-	struct waxwing_store_item *entry = g_new0(struct waxwing_store_item, 1);
-
-	*entry = *item;
-	entry->key.data = waxwing_str_dup(item->key);
-	entry->value.data = waxwing_str_dup(item->value);
-	if (item->deleted) {
-		remove_executor(node, entry->key.data);
-		g_hash_table_remove(node->executor_entries, entry->key.data);
-		node_entry_free(entry);
-		return;
-	}
-	g_hash_table_replace(node->executor_entries, (gpointer)entry->key.data, entry);
-	node->options.read_executor(entry, add_executor, node);
-}
-
-static void add_known_executors(struct waxwing_node *node)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, node->executor_entries);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		node->options.read_executor(value, add_executor, node);
-}
-
 void node_owner_begin(struct node_cell *cell, uint64_t token)
 {
 	struct waxwing_node *node = cell->node;
@@ -441,7 +374,7 @@
 	cell->journal = open_journal(cell, token);
 	cell->issuers = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	node->takeovers++;
-	add_known_executors(node);
+	node_entries_use(node);
 	cell->list_confirmed = false;
 	waxwing_event("cell_taken", "cell=%s token=%llu orderly=%d", cell->name,
 		      (unsigned long long)token,
@@ -493,6 +426,10 @@
 		issuer->echo_ms = MAX(issuer->echo_ms, (int64_t)message->echo_ms);
 	if (now_ms - issuer->echo_ms < WAXWING_PEER_TIMEOUT_MS)
 		issuer->is_unresponsive = false;
+	if (message->ping)
+		issuer->claim_delay_ms = message->ping->has_claim_delay_ms ?
+						 message->ping->claim_delay_ms :
+						 UINT32_MAX;
 	return issuer;
 }
 
@@ -626,7 +563,8 @@
 	return rows;
 }
 
-static void answer_ping(struct node_cell *cell, uint64_t sender, const Waxwing__CellPing *ping)
+static void answer_ping(struct node_cell *cell, const struct issuer *issuer,
+			const Waxwing__CellPing *ping)
 {
 	Waxwing__NodeMessage message = begin_message(cell);
 	Waxwing__CellPong pong = WAXWING__CELL_PONG__INIT;
@@ -647,8 +585,10 @@
 	pong.waiting = (Waxwing__QueueWaiting **)waiting->pdata;
 	pong.n_owners = news->len;
 	pong.owners = (Waxwing__OwnerNews **)news->pdata;
+	pong.has_standby = true;
+	pong.standby = node_entries_is_standby(cell, issuer);
 	message.pong = &pong;
-	send_answer(cell, sender, &message);
+	send_answer(cell, issuer->sender, &message);
 	g_ptr_array_free(waiting, TRUE);
 	g_ptr_array_free(news, TRUE);
 }
@@ -689,7 +629,7 @@
 	}
 	issuer = update_issuer(cell, sender, message, node_now(cell->node));
 	if (message->ping)
-		answer_ping(cell, sender, message->ping);
+		answer_ping(cell, issuer, message->ping);
 	if (message->has_withdraw)
 		waxwing_cell_withdraw(cell->owned, node_now(cell->node), message->withdraw);
 	if (message->ask)
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -27,6 +27,7 @@
 	uint32_t index; /* index in the node's array of cells */
 	char *name; /* name of the failure domain */
 	struct waxwing_cell_claim *claim;
+	uint32_t claim_delay_ms; /* this node's delay before it claims the cell */
 	/* state that the cell's owner has reported: */
 	int64_t last_pong_ms; /* time of the last pong; 0: none since the owner changed */
 	uint64_t owner_token; /* token of the owner that sends pongs */
@@ -38,6 +39,7 @@
 	uint32_t free_milli; /* free CPU in thousandths of a core */
 	uint32_t wait_ms;
 	bool rejects_durable_jobs; /* the owner currently refuses durable jobs */
+	bool is_standby; /* the last owner chose this node to replace it */
 	GHashTable *waiting_jobs; /* queue -> number of waiting jobs */
 	/* used while this node owns the cell: */
 	struct waxwing_cell *owned; /* null: this node is not the owner */
@@ -56,6 +58,7 @@
 	int64_t echo_ms;
 	/* the issuer no longer receives the owner's messages; its jobs were stopped */
 	bool is_unresponsive;
+	uint32_t claim_delay_ms; /* how long it would wait before it claims the cell */
 };
 
 /* A caller's job that has not been answered. */
@@ -89,8 +92,9 @@
 	GHashTable *pending_jobs; /* id -> struct pending_job */
 	GPtrArray *queries; /* struct pending_query */
 	GPtrArray *query_answers; /* struct query_answer, processed after the cells have run */
-	/* key -> struct waxwing_store_item, passed to newly owned cells */
+	/* key -> struct waxwing_store_item, passed to newly owned cells; see node_entries.c */
 	GHashTable *executor_entries;
+	int64_t entries_wanted_ms; /* when this node last needed the executors' entries */
 	uint64_t incarnation;
 	uint64_t next_ownership_id;
 	int64_t last_run_ms;
@@ -127,8 +131,15 @@
 void node_owner_offer(struct node_cell *cell, uint64_t sender, Waxwing__JobOffer *offer);
 void node_owner_message(struct node_cell *cell, uint64_t sender, Waxwing__NodeMessage *message);
 bool node_owner_rejects_durable_jobs(const struct node_cell *cell);
-void node_entry_free(gpointer value);
-void node_executors_changed(struct waxwing_node *node, const struct waxwing_store_item *item);
+
+/* node_entries.c: the executors' entries, which only owners and their standbys follow */
+void node_entries_create(struct waxwing_node *node);
+void node_entries_destroy(struct waxwing_node *node);
+void node_entries_run(struct waxwing_node *node, int64_t now_ms);
+bool node_entries_known(const struct waxwing_node *node);
+void node_entries_use(struct waxwing_node *node);
+bool node_entries_is_standby(const struct node_cell *cell, const struct issuer *issuer);
+void node_entries_changed(void *data, const struct waxwing_store_item *item);
 
 /* node_jobs.c */
 void node_jobs_run(struct waxwing_node *node, int64_t now_ms);
--- a/src/node/store_watch.c
+++ b/src/node/store_watch.c
@@ -26,6 +26,7 @@
 	bool call_pending; /* whether the call numbered call_number is pending */
 	uint32_t calls_in_flight; /* includes abandoned calls */
 	uint64_t call_number; /* number of the last call; answers to earlier ones are ignored */
+	bool inactive;
 	bool destroyed;
 };
 
@@ -46,12 +47,19 @@
 	return watch;
 }
 
-static void watch_free(struct waxwing_store_watch *watch)
+static void forget_range(struct waxwing_store_watch *watch)
 {
-	g_hash_table_destroy(watch->known_revisions);
 	if (watch->range_keys)
 		g_hash_table_destroy(watch->range_keys);
+	watch->range_keys = NULL;
 	g_free(watch->after_key);
+	watch->after_key = NULL;
+}
+
+static void watch_free(struct waxwing_store_watch *watch)
+{
+	g_hash_table_destroy(watch->known_revisions);
+	forget_range(watch);
 	g_free(watch->prefix);
 	g_free(watch);
 }
@@ -201,7 +209,8 @@
 	struct watch_call *call;
 	struct waxwing_store *store = watch->options.store;
 
-	if (watch->call_pending || waxwing_clock_now(watch->options.clock) < watch->next_call_ms)
+	if (watch->inactive || watch->call_pending ||
+	    waxwing_clock_now(watch->options.clock) < watch->next_call_ms)
 		return;
 	call = g_new0(struct watch_call, 1);
 	call->watch = watch;
@@ -241,3 +250,22 @@
 	watch->next_call_ms = 0;
 	waxwing_store_watch_run(watch);
 }
+
+void waxwing_store_watch_set_active(struct waxwing_store_watch *watch, bool active)
+{
+	if (watch->inactive == !active)
+		return;
+	watch->inactive = !active;
+	if (!active) {
+		forget_range(watch);
+		g_hash_table_remove_all(watch->known_revisions);
+		watch->synced = false;
+		watch->ever_synced = false;
+		/* the answer to a pending call is ignored */
+		watch->call_pending = false;
+		watch->call_number++;
+		return;
+	}
+	watch->next_call_ms = 0;
+	waxwing_store_watch_run(watch);
+}
--- a/src/node/store_watch.h
+++ b/src/node/store_watch.h
@@ -34,6 +34,12 @@
 /** Abandons the pending call, whose connection may be lost, and sends a new one. */
 void waxwing_store_watch_restart(struct waxwing_store_watch *watch);
 
+/**
+ * Starts or stops following the keys; a watch is created active. Stopping forgets all entries
+ * without reporting them as removed; starting reads the range anew.
+ */
+void waxwing_store_watch_set_active(struct waxwing_store_watch *watch, bool active);
+
 /** Sets the minimum time between two calls, so that one answer covers frequent changes. 0: none. */
 void waxwing_store_watch_set_interval(struct waxwing_store_watch *watch, uint32_t interval_ms);
 
@@ -43,7 +49,7 @@
 /** Returns the store revision up to which all changes are known; 0: the range is being read. */
 uint64_t waxwing_store_watch_revision(const struct waxwing_store_watch *watch);
 
-/** Returns true once the whole range has been read. */
+/** Returns true once the whole range has been read since the watch became active. */
 bool waxwing_store_watch_synced(const struct waxwing_store_watch *watch);
 
 #endif
--- a/test/node_sim.h
+++ b/test/node_sim.h
@@ -45,7 +45,7 @@
  * Stops the store. Executor entries that expire meanwhile return within two seconds after the store
  * is back.
  */
-static void store_fail(struct cluster_sim *sim, int64_t for_ms)
+static G_GNUC_UNUSED void store_fail(struct cluster_sim *sim, int64_t for_ms)
 {
 	char key[32];
 
@@ -66,7 +66,7 @@
  * Expires the executor entries of an isolated failure domain. They return within two seconds after
  * @back_ms.
  */
-static void expire_zone_entries(struct cluster_sim *sim, int zone, int64_t back_ms)
+static G_GNUC_UNUSED void expire_zone_entries(struct cluster_sim *sim, int zone, int64_t back_ms)
 {
 	char key[32];
 
--- a/test/node_sim_executors.h
+++ b/test/node_sim_executors.h
@@ -526,7 +526,7 @@
 }
 
 /* Restarts an executor, which loses all its runs and records. */
-static void restart_executor(struct cluster_sim *sim, struct sim_executor *executor)
+static G_GNUC_UNUSED void restart_executor(struct cluster_sim *sim, struct sim_executor *executor)
 {
 	g_array_set_size(executor->runs, 0);
 	g_array_set_size(executor->ended, 0);
--- a/test/node_sim_nodes.h
+++ b/test/node_sim_nodes.h
@@ -123,7 +123,8 @@
 }
 
 /* Sets the error of a host's time of day. */
-static void host_set_day_offset(struct cluster_sim *sim, struct sim_host *host, int64_t offset_ms)
+static G_GNUC_UNUSED void host_set_day_offset(struct cluster_sim *sim, struct sim_host *host,
+					      int64_t offset_ms)
 {
 	host->day_offset_ms = offset_ms;
 	sim->day_jumped |= offset_ms != 0;
--- a/test/node_sim_store.h
+++ b/test/node_sim_store.h
@@ -334,7 +334,7 @@
 		     store_deliver_answer, call);
 }
 
-static void store_stop_answering(struct cluster_sim *sim)
+static G_GNUC_UNUSED void store_stop_answering(struct cluster_sim *sim)
 {
 	sim->store_unresponsive = true;
 	for (guint i = 0; i < sim->watchers->len; i++) {
@@ -390,6 +390,14 @@
 	}
 }
 
+static void note_list_call(struct waxwing_store *store, const char *prefix)
+{
+	struct sim_host *host = (struct sim_host *)store;
+
+	if (strcmp(prefix, "servers/") == 0)
+		host->list_read_ms = sim_now(host->sim);
+}
+
 static struct store_call *store_call(struct waxwing_store *store, enum store_kind kind,
 				     struct waxwing_store_callback reply)
 {
@@ -410,6 +418,7 @@
 		       struct waxwing_store_callback reply)
 {
 	(void)after_key;
+	note_list_call(store, prefix);
 	store_call(store, STORE_RANGE, reply)->prefix = g_strdup(prefix);
 }
 
@@ -418,6 +427,8 @@
 {
 	struct store_call *call = store_call(store, STORE_WATCH, reply);
 
+	note_list_call(store, prefix);
+
 	call->prefix = g_strdup(prefix);
 	call->revision_or_lease = after_revision;
 	call->wait_or_ttl_ms = wait_ms;
--- a/test/node_sim_types.h
+++ b/test/node_sim_types.h
@@ -7,7 +7,10 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#define NODES		      6
+/* A test file may set another number before it includes the simulation. */
+#ifndef NODES
+#define NODES 6
+#endif
 #define ZONES		      3
 #define EXECUTORS	      12
 #define EXECUTOR_CPU_MILLI    16000
@@ -83,6 +86,7 @@
 	bool store_unreachable;
 	bool drops_incoming; /* messages from other nodes are lost */
 	int64_t receive_delay_ms; /* delay until the node reads a message */
+	int64_t list_read_ms; /* last time at which the node called for executors' entries */
 	char name[32];
 	char address[32];
 };
