src/node: an owner's new process replaces its own entry at once

As the entries were read by all 147 nodes at once after the lapse, they waited for each other at the store's link (76 MB of 125 MB/s). Now a node that reads an entry of its own name and address with another incarnation claims the cell on condition of that entry: its former process has ended. It is treated as any takeover that was not orderly. Nodes that would have to read the entries first wait up to 0.25 s longer, the fewer cores they have the longer.

--- a/src/node/cell_claim.c
+++ b/src/node/cell_claim.c
@@ -33,8 +33,9 @@
 	uint64_t seen_revision; /* revision of the last entry or deletion seen */
 	uint64_t lease; /* 0: none */
 	int64_t vacant_since_ms; /* 0: not known to be vacant */
-	/* revision of the released entry that a claim replaces; 0: there is none */
+	/* revision of the entry that a claim replaces; 0: there is none */
 	uint64_t replaced_revision;
+	bool replaces_released; /* the replaced entry was released by its owner */
 	int64_t next_call_ms; /* time of the next renewal or claim */
 	int64_t sent_ms; /* time at which the pending call was sent */
 	int64_t renewed_ms; /* time of the last successful request or renewal of the lease */
@@ -101,8 +102,9 @@
 	claim->seen_revision = revision;
 	claim->vacant_since_ms = 0;
 	claim->owner.released = false;
-	claim->owner.clean_handover = claim->replaced_revision != 0;
+	claim->owner.clean_handover = claim->replaces_released;
 	claim->replaced_revision = 0;
+	claim->replaces_released = false;
 	claim->owner.known = true;
 	claim->owner.is_self = owner->incarnation == claim->options.incarnation;
 	claim->owner.fencing_token = revision;
@@ -119,11 +121,14 @@
 {
 	int64_t delay_ms = claim->owner.is_self ? 0 : claim->options.delay_ms;
 
+	if (!claim->owner.is_self && !claim->options.prepared(claim->options.data))
+		delay_ms += claim->options.unprepared_delay_ms;
 	claim->seen_revision = revision;
 	claim->vacant_since_ms = now(claim);
 	claim->next_call_ms = claim->vacant_since_ms + delay_ms;
 	claim->lease = 0;
 	claim->replaced_revision = 0;
+	claim->replaces_released = false;
 	claim->owner.known = false;
 	notify_owner_changed(claim);
 }
@@ -134,6 +139,25 @@
 	claim->owner.released = true;
 	set_vacant(claim, revision);
 	claim->replaced_revision = revision;
+	claim->replaces_released = true;
+}
+
+static bool is_former_self(const struct waxwing_cell_claim *claim, const Waxwing__CellOwner *owner)
+{
+	return owner->incarnation != claim->options.incarnation &&
+	       strcmp(owner->node, claim->options.node) == 0 &&
+	       strcmp(owner->address, claim->options.address) == 0;
+}
+
+/* This node's former process owned the cell. */
+static void set_former_self(struct waxwing_cell_claim *claim, uint64_t revision)
+{
+	waxwing_event("cell_owned_before", "cell=%s token=%llu", claim->options.cell,
+		      (unsigned long long)revision);
+	claim->owner.fencing_token = revision;
+	set_vacant(claim, revision);
+	claim->next_call_ms = claim->vacant_since_ms;
+	claim->replaced_revision = revision;
 }
 
 void waxwing_cell_claim_update(struct waxwing_cell_claim *claim,
@@ -156,6 +180,8 @@
 	}
 	if (owner->released)
 		set_released(claim, item->revision);
+	else if (is_former_self(claim, owner))
+		set_former_self(claim, item->revision);
 	else
 		set_owner(claim, owner, item->revision);
 	waxwing__cell_owner__free_unpacked(owner, NULL);
--- a/src/node/cell_claim.h
+++ b/src/node/cell_claim.h
@@ -6,6 +6,10 @@
  * fencing token. When the entry disappears, each node waits for its own delay and then claims the
  * cell; the store accepts only one claim. While the store is unreachable, the owner keeps the cell
  * until it learns of a successor, from the store or from an executor that has seen a higher token.
+ *
+ * A node that finds an entry of its own former process replaces it without waiting for the lease:
+ * that process has ended, since this one listens at its address. Orders that it sent may still be
+ * on their way, as after the loss of any owner.
  */
 #ifndef WAXWING_CELL_CLAIM_H
 #define WAXWING_CELL_CLAIM_H
@@ -37,6 +41,8 @@
 	uint64_t incarnation; /**< incarnation of this process */
 	uint32_t ttl_ms; /**< TTL of the lease on the owner's entry */
 	uint32_t delay_ms; /**< time between the removal of the entry and this node's claim */
+	/** additional delay while prepared() is false, so that few nodes prepare at the same time */
+	uint32_t unprepared_delay_ms;
 	/**
 	 * Called when the owner or its token changes; this node may have gained or lost the cell.
 	 */
--- a/src/node/node_cells.c
+++ b/src/node/node_cells.c
@@ -15,6 +15,12 @@
  */
 #define OWNER_CPU_CORES	   0.5
 #define FEW_CORES_DELAY_MS 150
+/*
+ * Additional delay of a node that must read the executors' entries first. After a loss of all
+ * nodes, the nodes with most cores do so alone; if all nodes did, they would wait for each other at
+ * the store's link.
+ */
+#define UNPREPARED_FEW_CORES_DELAY_MS 250
 /*
  * Nodes of other failure domains claim the cell only when its own domain has no node left. An owner
  * that is isolated together with its whole domain continues to serve the domain. An owner outside
@@ -53,12 +59,17 @@
 	return node_entries_known(cell->node);
 }
 
+/* Returns the part of the cores that an owner needs which this node lacks. */
+static double core_shortfall(const struct waxwing_node *node)
+{
+	return 1 - MIN(node->options.cpu_share, OWNER_CPU_CORES) / OWNER_CPU_CORES;
+}
+
 static uint32_t claim_delay_ms(const struct waxwing_node *node, const char *cell)
 {
 	uint32_t spread = (uint32_t)(node->incarnation >> 32) % CLAIM_SPREAD_MS;
-	double cpu_shortfall = 1 - MIN(node->options.cpu_share, OWNER_CPU_CORES) / OWNER_CPU_CORES;
 
-	spread += (uint32_t)(cpu_shortfall * FEW_CORES_DELAY_MS);
+	spread += (uint32_t)(core_shortfall(node) * FEW_CORES_DELAY_MS);
 	return (strcmp(cell, node->options.zone) == 0 ? CLAIM_DELAY_MS : REMOTE_CLAIM_DELAY_MS) +
 	       spread;
 }
@@ -76,6 +87,8 @@
 			.incarnation = node->incarnation,
 			.ttl_ms = MAX(OWNER_TTL_MS, node->options.min_ttl_ms),
 			.delay_ms = claim_delay_ms(node, node->options.zones[i]),
+			.unprepared_delay_ms =
+				(uint32_t)(core_shortfall(node) * UNPREPARED_FEW_CORES_DELAY_MS),
 			.owner_changed = owner_changed,
 			.owner_reachable = owner_is_reachable,
 			.prepared = is_prepared,
--- a/test/test_node_faults.c
+++ b/test/test_node_faults.c
@@ -18,6 +18,10 @@
  * Longer than nodes of other failure domains wait before they claim the cell of an isolated domain.
  */
 #define ZONE_OUTAGE_MS 9000
+/* How long nodes are without power; the owners' leases last 1000 ms. */
+#define POWER_CYCLE_MS 200
+/* Reading the store, one claim, and pings of the new owners. */
+#define RECLAIM_MS 300
 /* Allows for a scan and a tick of 10 ms each, the order's network delay, and a busy executor. */
 #define MAX_START_DELAY_MS 150
 
@@ -408,6 +412,36 @@
 	sim_destroy(sim);
 }
 
+/*
+ * All nodes lose power for less than the time to live of the owners' leases. The owners' new
+ * processes replace their own entries; they do not wait for the leases to lapse.
+ */
+static void test_power_cycle(void)
+{
+	for (uint32_t seed = 1; seed <= 20; seed++) {
+		struct cluster_sim *sim = create_settled_sim(seed);
+		int owners[ZONES];
+
+		sim->late_order_share = 0.05;
+		sim->durable_share = seed % 2 ? 0.5 : 0;
+		submit_jobs(sim, 1000);
+		for (int zone = 0; zone < ZONES; zone++)
+			owners[zone] = find_owner(sim, zone);
+		restart_all_nodes(sim, POWER_CYCLE_MS);
+		submit_jobs(sim, RECLAIM_MS);
+		for (int zone = 0; zone < ZONES; zone++) {
+			const struct waxwing_node *node = sim->hosts[owners[zone]].node;
+
+			g_assert_cmpint(find_owner(sim, zone), ==, owners[zone]);
+			g_assert_cmpuint(waxwing_node_reachable_cells(node), ==, ZONES);
+		}
+		submit_jobs(sim, 2000);
+		sim->late_order_share = 0;
+		assert_all_answered(sim);
+		sim_destroy(sim);
+	}
+}
+
 static void inject_random_fault(struct cluster_sim *sim)
 {
 	int node = g_rand_int_range(sim->random, 0, NODES);
@@ -877,6 +911,7 @@
 	g_test_add_func("/node/executor_restarts", test_executor_restarts);
 	g_test_add_func("/node/leave", test_leave);
 	g_test_add_func("/node/all_killed", test_all_killed);
+	g_test_add_func("/node/power_cycle", test_power_cycle);
 	g_test_add_func("/node/kept_calm", test_durable_no_faults);
 	g_test_add_func("/node/kept_all_killed", test_durable_all_killed);
 	g_test_add_func("/node/kept_lost_answers", test_durable_lost_answers);
