src/node: a request waits for the first configuration, and a job for an owner that is due

Their callers have 1.5 s and do not ask again, so a truthful refusal costs them the job. Now both wait for 0.4 of the caller's timeout (for an owner: 1.3 s at most, its lease and a claim). After that they are refused as before; nothing of them has run. Test /node/await_routing: configuration comes, does not come, caller leaves.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -59,31 +59,6 @@
 	}
 }
 
-static void routing_changed(void *data, const struct waxwing_store_item *item)
-{
-	struct waxwing_node *node = data;
-	struct waxwing_routing *routing;
-
-	if (item->deleted || !waxwing_str_equal(item->key, waxwing_str(node->options.routing_key)))
-		return;
-	routing = node->options.read_routing(item);
-	if (!routing)
-		return;
-	if (node->routing && routing->version <= node->routing->version) {
-		waxwing_event("routing_kept", "version=%llu offered=%llu",
-			      (unsigned long long)node->routing->version,
-			      (unsigned long long)routing->version);
-		waxwing_routing_destroy(routing);
-		return;
-	}
-	waxwing_event("routing_in_force", "version=%llu queues=%u revision=%llu",
-		      (unsigned long long)routing->version, routing->queues->len,
-		      (unsigned long long)item->revision);
-	waxwing_routing_destroy(node->routing);
-	node->routing = routing;
-	node->routing_since_ms = node_now(node);
-}
-
 static void owner_entry_changed(void *data, const struct waxwing_store_item *item)
 {
 	struct waxwing_node *node = data;
@@ -142,6 +117,7 @@
 		for (guint i = 0; i < node->cells->len; i++)
 			waxwing_cell_claim_set_synced(
 				((struct node_cell *)node->cells->pdata[i])->claim);
+	node_routing_run(node, now_ms);
 	node_cells_run(node, now_ms);
 	node_jobs_run(node, now_ms);
 	node_queries_run(node, now_ms);
@@ -160,13 +136,14 @@
 	node->cells = g_ptr_array_new();
 	node->queries = g_ptr_array_new_with_free_func(g_free);
 	node_entries_create(node);
+	node->routing_waiters = g_ptr_array_new();
 	node->query_answers = g_ptr_array_new_with_free_func(g_free);
 	node->verdicts = g_ptr_array_new_with_free_func(g_free);
 	node->pending_jobs =
 		g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, node_pending_job_free);
 	node_cells_create(node);
 	node->routing_watch = create_watch(node, options->routing_key, WATCH_WAIT_MS,
-					   routing_changed, store_reached);
+					   node_routing_changed, store_reached);
 	node->owner_watch = create_watch(node, WAXWING_CELL_OWNER_PREFIX, WATCH_WAIT_MS,
 					 owner_entry_changed, store_reached);
 	node->executor_watch = create_watch(node, options->executor_prefix, ENTRIES_WATCH_WAIT_MS,
@@ -184,6 +161,7 @@
 	waxwing_store_watch_destroy(node->executor_watch);
 	node_cells_destroy(node);
 	waxwing_routing_destroy(node->routing);
+	g_ptr_array_free(node->routing_waiters, TRUE);
 	g_hash_table_destroy(node->pending_jobs);
 	g_ptr_array_free(node->verdicts, TRUE);
 	g_ptr_array_free(node->queries, TRUE);
@@ -192,11 +170,6 @@
 	g_free(node);
 }
 
-const struct waxwing_routing *waxwing_node_routing(const struct waxwing_node *node)
-{
-	return node->routing;
-}
-
 uint32_t waxwing_node_reachable_cells(const struct waxwing_node *node)
 {
 	int64_t now_ms = node_now(node);
@@ -241,7 +214,8 @@
 
 bool waxwing_node_idle(const struct waxwing_node *node)
 {
-	if (g_hash_table_size(node->pending_jobs) || node->queries->len)
+	if (g_hash_table_size(node->pending_jobs) || node->queries->len ||
+	    node->routing_waiters->len)
 		return false;
 	for (guint i = 0; i < node->cells->len; i++)
 		if (waxwing_cell_claim_is_releasing(
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -83,10 +83,20 @@
 /** A caller that waits for a job's end. Owned by the caller until answered or withdrawn. */
 struct waxwing_job_waiter {
 	void (*answer)(struct waxwing_job_waiter *waiter, const struct waxwing_node_answer *answer);
+	uint32_t waited_ms; /**< how long the request has waited at this node before */
 	uint64_t job; /**< set by waxwing_node_submit() */
 	struct waxwing_job_waiter *next; /**< next caller that waits for the same job */
 };
 
+/** A request that arrived before this node had a configuration. Owned by the caller. */
+struct waxwing_routing_waiter {
+	/** @in_force false: there is still none, and the request should be refused. */
+	void (*done)(struct waxwing_routing_waiter *waiter, bool in_force);
+	uint32_t timeout_ms; /**< how long the caller waits for a response */
+	int64_t arrived_ms; /**< set by waxwing_node_await_routing() */
+	uint32_t waited_ms; /**< set before done() is called */
+};
+
 struct waxwing_node *waxwing_node_create(const struct waxwing_node_options *options);
 void waxwing_node_destroy(struct waxwing_node *node);
 
@@ -118,6 +128,17 @@
  */
 const struct waxwing_routing *waxwing_node_routing(const struct waxwing_node *node);
 
+/**
+ * Waits until a configuration is in force, for a part of the caller's timeout at most. A node that
+ * has just started reads it within some hundred milliseconds. waiter->done() is called once, never
+ * from within the call.
+ */
+void waxwing_node_await_routing(struct waxwing_node *node, struct waxwing_routing_waiter *waiter);
+
+/** Removes @waiter, whose caller has disconnected; its done() is not called. */
+void waxwing_node_cancel_routing_wait(struct waxwing_node *node,
+				      struct waxwing_routing_waiter *waiter);
+
 /**
  * Accepts a job and takes ownership of @job. @waiter is answered once, never from within the call.
  * If a job with the same id is already pending, @waiter waits for that one.
--- a/src/node/node_jobs.c
+++ b/src/node/node_jobs.c
@@ -23,8 +23,13 @@
  * the verdict.
  */
 #define VERDICT_RETRY_MS 1000
-/* A job is refused if no cell becomes reachable within this time. */
-#define NO_CELL_TIMEOUT_MS 300
+/*
+ * A job is refused if no cell becomes reachable within this time: after the loss of an owner, its
+ * entry lapses within 1000 ms, and the claim takes up to 300 ms more.
+ */
+#define NO_CELL_TIMEOUT_MS 1300
+/* Part of the caller's timeout for which a job may wait for a cell; the rest is for its run. */
+#define NO_CELL_WAIT_SHARE 0.4
 #define NO_CELL_RETRY_MS   1000
 /* Additional cost of a cell in another failure domain, for the round trip. */
 #define REMOTE_CELL_COST_MS 4.0
@@ -220,7 +225,7 @@
 	pending = g_new0(struct pending_job, 1);
 	pending->id = job->id;
 	pending->job = job;
-	pending->arrived_ms = now_ms;
+	pending->arrived_ms = now_ms - waiter->waited_ms;
 	pending->waiters = waiter;
 	waiter->next = NULL;
 	g_hash_table_insert(node->pending_jobs, &pending->id, pending);
@@ -436,7 +441,8 @@
 		return;
 	}
 	offer_to_best_cell(node, pending, now_ms);
-	if (!pending->cell && age_ms >= NO_CELL_TIMEOUT_MS)
+	if (!pending->cell && (double)age_ms >= MIN(NO_CELL_TIMEOUT_MS,
+						    pending->job->patience_ms * NO_CELL_WAIT_SHARE))
 		refuse_job(node, pending, false, WAXWING_ERROR_NOT_READY);
 }
 
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -90,6 +90,7 @@
 	struct waxwing_routing *routing;
 	GPtrArray *cells; /* struct node_cell */
 	GHashTable *pending_jobs; /* id -> struct pending_job */
+	GPtrArray *routing_waiters; /* struct waxwing_routing_waiter */
 	GPtrArray *queries; /* struct pending_query */
 	GPtrArray *query_answers; /* struct query_answer, processed after the cells have run */
 	/* key -> struct waxwing_store_item, passed to newly owned cells; see node_entries.c */
@@ -132,6 +133,10 @@
 void node_owner_message(struct node_cell *cell, uint64_t sender, Waxwing__NodeMessage *message);
 bool node_owner_rejects_durable_jobs(const struct node_cell *cell);
 
+/* node_routing.c */
+void node_routing_changed(void *data, const struct waxwing_store_item *item);
+void node_routing_run(struct waxwing_node *node, int64_t now_ms);
+
 /* node_entries.c: the executors' entries, which only owners and their standbys follow */
 void node_entries_create(struct waxwing_node *node);
 void node_entries_destroy(struct waxwing_node *node);
--- a/test/test_node_faults.c
+++ b/test/test_node_faults.c
@@ -442,6 +442,56 @@
 	}
 }
 
+struct routing_wait {
+	struct waxwing_routing_waiter waiter; /* must be the first member */
+	struct cluster_sim *sim;
+	int64_t done_ms; /* 0: not done */
+	bool in_force;
+};
+
+static void routing_wait_done(struct waxwing_routing_waiter *waiter, bool in_force)
+{
+	struct routing_wait *wait = (struct routing_wait *)waiter;
+
+	g_assert_cmpint(wait->done_ms, ==, 0);
+	wait->done_ms = sim_now(wait->sim);
+	wait->in_force = in_force;
+}
+
+/*
+ * A request that arrives before its node has read the configuration waits for it, unless the store
+ * does not answer in time or the caller leaves.
+ */
+static void test_await_routing(void)
+{
+	struct cluster_sim *sim = create_settled_sim(1);
+	struct routing_wait waits[3];
+	int64_t start_ms;
+
+	for (int i = 0; i < 3; i++)
+		waits[i] = (struct routing_wait){ { .done = routing_wait_done, .timeout_ms = 1500 },
+						  .sim = sim };
+	node_kill(sim, 0);
+	node_kill(sim, 1);
+	sim->hosts[1].store_unreachable = true;
+	node_start(sim, 0);
+	node_start(sim, 1);
+	start_ms = sim_now(sim);
+	waxwing_node_await_routing(sim->hosts[0].node, &waits[0].waiter);
+	waxwing_node_await_routing(sim->hosts[1].node, &waits[1].waiter);
+	waxwing_node_await_routing(sim->hosts[1].node, &waits[2].waiter);
+	waxwing_node_cancel_routing_wait(sim->hosts[1].node, &waits[2].waiter);
+	sim_run(sim, 1500);
+	g_assert_true(waits[0].in_force);
+	g_assert_cmpint(waits[0].done_ms - start_ms, <=, 50);
+	g_assert_cmpuint(waits[0].waiter.waited_ms, ==, waits[0].done_ms - start_ms);
+	g_assert_false(waits[1].in_force);
+	g_assert_cmpint(waits[1].done_ms - start_ms, >=, 600);
+	g_assert_cmpint(waits[1].done_ms - start_ms, <=, 650);
+	g_assert_cmpint(waits[2].done_ms, ==, 0);
+	sim_destroy(sim);
+}
+
 static void inject_random_fault(struct cluster_sim *sim)
 {
 	int node = g_rand_int_range(sim->random, 0, NODES);
@@ -912,6 +962,7 @@
 	g_test_add_func("/node/leave", test_leave);
 	g_test_add_func("/node/all_killed", test_all_killed);
 	g_test_add_func("/node/power_cycle", test_power_cycle);
+	g_test_add_func("/node/await_routing", test_await_routing);
 	g_test_add_func("/node/kept_calm", test_durable_no_faults);
 	g_test_add_func("/node/kept_all_killed", test_durable_all_killed);
 	g_test_add_func("/node/kept_lost_answers", test_durable_lost_answers);
