src/cell: admission at a crest by the expected end, urgency, and a share for each queue

Cause: a job was admitted if its end was expected within three times its target duration, by the queued work over all cores. The queue's declared priority was not looked at. Now (cell_admission.c) a job is admitted if the running tasks' expected ends leave room for it in time, or if what jobs in time leave over completes it while it is still useful; others are refused at once, with a time to come back that is spread. More urgent queues are served first; a queue of which less than a tenth was admitted lately goes ahead of them. A refusal for load is followed by the next cell.

--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -6,8 +6,6 @@
 #include "event_log.h"
 #include "log.h"
 
-/* A job is useless to its caller after this multiple of its target duration. */
-#define GIVE_UP_FACTOR 3.0
 /* Additional failures that a task is allowed when it fails on an executor where most tasks fail. */
 #define EXTRA_FAILURES_ALLOWED 2
 /*
@@ -18,8 +16,6 @@
 #define SUSPECT_MIN_OUTCOMES  2.0
 /* How long a verdict is repeated to issuers that offer the job again. */
 #define VERDICT_CACHE_MS 6000
-/* Minimum delay before a caller may retry. */
-#define MIN_RETRY_AFTER_MS 200
 /* A job past its due time is not deferred if at most this share of its tasks remains. */
 #define NEARLY_DONE_SHARE 0.25
 /*
@@ -30,7 +26,7 @@
 /* How long a run that a former owner started may wait for its job to be offered again. */
 #define ORPHAN_GRACE_MS 300
 
-static int compare_jobs(gconstpointer a, gconstpointer b, gpointer user)
+int job_compare(gconstpointer a, gconstpointer b, gpointer user)
 {
 	const struct cell_job *left = a;
 	const struct cell_job *right = b;
@@ -40,6 +36,10 @@
 		return left->long_running ? -1 : 1;
 	if (left->late != right->late)
 		return left->late ? 1 : -1;
+	if (left->neglected != right->neglected)
+		return left->neglected ? -1 : 1;
+	if (left->spec->priority != right->spec->priority)
+		return left->spec->priority < right->spec->priority ? -1 : 1;
 	if (left->due_ms != right->due_ms)
 		return left->due_ms < right->due_ms ? -1 : 1;
 	if (left->id != right->id)
@@ -144,6 +144,12 @@
 	return longest;
 }
 
+/* Returns the expected work of the job's longest chain of steps, at speed 1. */
+double job_work_ms(const struct cell_job *job)
+{
+	return longest_chain_ms(job->queue, job->spec);
+}
+
 static struct queue *find_queue(struct waxwing_cell *cell, const char *name)
 {
 	struct queue *queue = g_hash_table_lookup(cell->queues, name);
@@ -176,7 +182,7 @@
 		remove_from_ready(job);
 	else if (!job->ready_iter)
 		job->ready_iter =
-			g_sequence_insert_sorted(cell->ready_jobs, job, compare_jobs, NULL);
+			g_sequence_insert_sorted(cell->ready_jobs, job, job_compare, NULL);
 }
 
 void job_task_ready(struct waxwing_cell *cell, struct cell_job *job, uint32_t step, uint32_t index)
@@ -657,35 +663,6 @@
 	       (int64_t)(GIVE_UP_FACTOR * (double)(job->due_ms - job->arrived_ms));
 }
 
-/*
- * Estimates whether a new job would end too late to be useful, if all jobs that are served before
- * it complete first. Sets @wait_ms to the time that those jobs take.
- */
-static bool will_end_too_late(struct waxwing_cell *cell, int64_t now_ms, struct cell_job *job,
-			      uint32_t *wait_ms)
-{
-	double work = longest_chain_ms(job->queue, job->spec);
-	double ahead = 0;
-	double capacity = cell_capacity(cell, job->spec->service, now_ms);
-	GSequenceIter *iter = g_sequence_get_begin_iter(cell->ready_jobs);
-
-	for (; !g_sequence_iter_is_end(iter); iter = g_sequence_iter_next(iter)) {
-		const struct cell_job *other = g_sequence_get(iter);
-
-		if (other == job || compare_jobs(other, job, NULL) > 0)
-			break;
-		if (strcmp(other->spec->service, job->spec->service) != 0)
-			continue;
-		for (size_t i = 0; i < other->spec->n_steps; i++)
-			ahead += other->ready_tasks *
-				 (double)step_needs(other->steps[i].spec).cpu_milli / 1000 *
-				 step_work_ms(other, other->steps[i].spec) /
-				 (double)other->spec->n_steps;
-	}
-	*wait_ms = (uint32_t)(capacity > 0 ? ahead / capacity : 0);
-	return now_ms + (int64_t)(*wait_ms + work) > give_up_ms(job);
-}
-
 /*
  * New jobs are served before late ones, but late durable jobs must still run. Returns true
  * if the backlog of work is too large to accept another durable job.
@@ -699,6 +676,21 @@
 	return *wait_ms > MAX_BACKLOG_MS;
 }
 
+/*
+ * Returns true if a new job is refused. Only durable jobs must run even if they are late; they are
+ * refused when the backlog is too large.
+ */
+static bool is_refused(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms,
+		       uint32_t *wait_ms)
+{
+	enum admission admission = admission_decide(cell, job, now_ms, wait_ms);
+
+	if (job->durable)
+		return *wait_ms + job_work_ms(job) > (double)(give_up_ms(job) - now_ms) ||
+		       has_full_backlog(cell, job, now_ms, wait_ms);
+	return admission == ADMISSION_REFUSED;
+}
+
 void waxwing_cell_offer(struct waxwing_cell *cell, int64_t now_ms, uint64_t issuer,
 			Waxwing__JobOffer *offer)
 {
@@ -729,11 +721,10 @@
 	if (!job->durable)
 		job_adopt_runs(cell, job);
 	if (!running_before && !job->long_running && !job->occurrences &&
-	    (will_end_too_late(cell, now_ms, job, &wait_ms) ||
-	     has_full_backlog(cell, job, now_ms, &wait_ms))) {
+	    is_refused(cell, job, now_ms, &wait_ms)) {
 		job->durable = false; /* the job is not in the journal */
 		job_end(cell, job, now_ms, WAXWING_JOB_REFUSED, WAXWING_ERROR_OVERLOAD,
-			MAX(wait_ms, MIN_RETRY_AFTER_MS));
+			admission_retry_after_ms(job, wait_ms));
 	} else if (job->durable && spec->permits_needed && !job->occurrences) {
 		job->awaits_permits = true;
 	} else if (job->durable) {
@@ -783,7 +774,7 @@
 		return;
 	job->late = late;
 	if (job->ready_iter)
-		g_sequence_sort_changed(job->ready_iter, compare_jobs, NULL);
+		g_sequence_sort_changed(job->ready_iter, job_compare, NULL);
 }
 
 /*
@@ -818,7 +809,9 @@
 			occurrences_open_scheduled(cell, job, now_ms);
 		return;
 	}
-	if (!job->durable && !job->started && now_ms > give_up_ms(job)) {
+	/* more urgent jobs have taken its place, or executors were lost */
+	if (!job->durable && !job->started &&
+	    (double)now_ms + job_work_ms(job) > (double)give_up_ms(job)) {
 		job_end(cell, job, now_ms, WAXWING_JOB_REFUSED, WAXWING_ERROR_DEADLINE,
 			(uint32_t)MAX(cell_expected_wait_ms(cell, job->spec->service, now_ms),
 				      MIN_RETRY_AFTER_MS));
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -173,6 +173,15 @@
 	return best;
 }
 
+/* Returns the expected time until the run ends; a run that takes longer counts as nearly done. */
+double run_remaining_ms(const struct cell_run *run, int64_t now_ms)
+{
+	double total = step_work_ms(run->job, run->job->steps[run->id.step].spec) /
+		       run->executor->speed.value;
+
+	return MAX(total - (double)(now_ms - run->started_ms), total / 8);
+}
+
 /* Returns the estimated time until the first run on the executor ends, in milliseconds. */
 static double first_end_ms(const struct executor *executor, int64_t now_ms)
 {
@@ -180,15 +189,11 @@
 
 	for (guint i = 0; i < executor->runs->len; i++) {
 		const struct cell_run *run = executor->runs->pdata[i];
-		double total;
 
 		if (!run->job || run->job->ended)
 			return 0;
-		if (run_is_long_running(run))
-			continue;
-		total = step_work_ms(run->job, run->job->steps[run->id.step].spec) /
-			executor->speed.value;
-		first = MIN(first, MAX(total - (double)(now_ms - run->started_ms), total / 8));
+		if (!run_is_long_running(run))
+			first = MIN(first, run_remaining_ms(run, now_ms));
 	}
 	return first;
 }
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -21,6 +21,10 @@
 #define UNLISTED_GRACE_MS 2000
 /* Run times are learned in percent of the step's estimate. */
 #define RATIO_SCALE 100.0
+/* A job is useless to its caller after this multiple of its target duration. */
+#define GIVE_UP_FACTOR 3.0
+/* Minimum delay before a caller may retry. */
+#define MIN_RETRY_AFTER_MS 200
 /* Estimated run time of a step that states none. */
 #define DEFAULT_ESTIMATE_MS 200
 
@@ -57,6 +61,16 @@
 	GHashTable *permits; /* executor id -> struct permit; null: no query was answered */
 };
 
+/* Priorities whose admitted work is tracked one by one. */
+#define ADMISSION_PRIORITIES 4
+
+/* Whether a new job is admitted, see cell_admission.c. */
+enum admission {
+	ADMITTED_IN_TIME, /* expected to end by its due time */
+	ADMITTED_LATE, /* expected to end later, but soon enough to be useful */
+	ADMISSION_REFUSED,
+};
+
 /* Key of a job in the table of jobs. */
 struct job_key {
 	uint64_t id;
@@ -92,6 +106,7 @@
 	uint32_t remaining; /* tasks, or occurrences of a repeating job, that have not completed */
 	uint32_t total; /* number of tasks, or occurrences of a repeating job */
 	bool started;
+	bool neglected; /* of a queue that was mostly refused: served before other jobs */
 	bool late; /* past its due time and not nearly done: served after other jobs */
 	bool long_running; /* has a step whose tasks run until the job is cancelled; served first */
 	bool ended; /* no more tasks start; remaining runs are being stopped */
@@ -118,6 +133,10 @@
 	char *name;
 	struct waxwing_work_estimate ratio; /* of run time to estimate, in percent */
 	uint32_t waiting_jobs; /* jobs that have not started a task */
+	/* recent numbers of jobs, decayed; see cell_admission.c */
+	double offered;
+	double admitted;
+	int64_t counts_updated_ms;
 };
 
 /* The end of a run. Acknowledged to the executor once the journal record is stored. */
@@ -226,6 +245,9 @@
 	int64_t last_appeared_ms; /* when an executor was last added after creation; 0: never */
 	uint64_t next_handle;
 	uint32_t runs;
+	/* rate of the work admitted in time, in cores at speed 1, by priority; the last is all lower */
+	double inflow_cores[ADMISSION_PRIORITIES];
+	int64_t inflow_updated_ms;
 	double queued_core_ms; /* work of ready tasks, in core milliseconds at speed 1 */
 	struct waxwing_histogram start_wait_ms; /* from a job's arrival to its first start */
 	uint64_t starts;
@@ -276,6 +298,8 @@
 double step_estimate_ms(const Waxwing__JobStep *step);
 struct waxwing_capacity step_needs(const Waxwing__JobStep *step);
 double step_work_ms(const struct cell_job *job, const Waxwing__JobStep *step);
+double job_work_ms(const struct cell_job *job);
+int job_compare(gconstpointer a, gconstpointer b, gpointer user);
 void job_task_ready(struct waxwing_cell *cell, struct cell_job *job, uint32_t step, uint32_t index);
 void job_task_assigned(struct waxwing_cell *cell, struct cell_job *job, uint32_t step,
 		       uint32_t index);
@@ -365,6 +389,11 @@
 void durable_answer_waiters(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms);
 void durable_expire_finished(struct waxwing_cell *cell, int64_t now_ms);
 
+/* cell_admission.c: which jobs are admitted when the cell cannot run all in time */
+enum admission admission_decide(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms,
+				uint32_t *wait_ms);
+uint32_t admission_retry_after_ms(const struct cell_job *job, uint32_t wait_ms);
+
 /* cell_gang.c: tasks that must all run at the same time */
 void gang_place(struct waxwing_cell *cell, struct cell_job *job, uint32_t step, int64_t now_ms);
 void gang_stop(struct waxwing_cell *cell, struct cell_job *job, uint32_t step, int64_t now_ms);
@@ -372,6 +401,7 @@
 			 const Waxwing__JobStep *step);
 
 /* cell_place.c */
+double run_remaining_ms(const struct cell_run *run, int64_t now_ms);
 struct executor *pick_executor(struct waxwing_cell *cell, const struct cell_job *job, uint32_t step,
 			       const struct task *task, int64_t now_ms, double *speed);
 struct cell_run *run_allocate(struct waxwing_cell *cell, struct cell_job *job, uint32_t step,
--- a/src/node/node_jobs.c
+++ b/src/node/node_jobs.c
@@ -268,7 +268,8 @@
 }
 
 /*
- * A refusal for load, or for lack of suitable executors, applies to one cell only. A durable job is
+ * A refusal for load, or for lack of suitable executors, applies to one cell only: others are asked
+ * until one has a place, since what is known of their room may be out of date. A durable job is
  * offered to all cells: it may have been submitted before, and the cell that accepted it then
  * confirms it.
  */
@@ -279,7 +280,8 @@
 
 	pending->refused_cells |= node_cell_bit(pending->cell);
 	other = choose_cell(node, pending->job, pending->refused_cells, now_ms);
-	if (!other || pending->job->kept || reason == WAXWING_ERROR_NO_UPSTREAM)
+	if (!other || pending->job->kept || reason == WAXWING_ERROR_NO_UPSTREAM ||
+	    reason == WAXWING_ERROR_OVERLOAD)
 		return other;
 	if (pending->moved_after_refusal || cell_cost(other, pending->job) + MIN_MOVE_GAIN_MS >
 						    cell_cost(pending->cell, pending->job))
