--- a/src/cell/cell_durable.c
+++ b/src/cell/cell_durable.c
@@ -1,5 +1,7 @@
 #include "cell_private.h"
 
+#include "job_check.h"
+
 #define LOG_COMPONENT "cell"
 #include "event_log.h"
 #include "log.h"
@@ -281,7 +283,12 @@
 {
 	Waxwing__JobOffer offer = WAXWING__JOB_OFFER__INIT;
 
-	if (waxwing_cell_has_job(cell, spec->id))
+	const char *invalid = waxwing_job_invalid_field(spec);
+
+	if (invalid)
+		waxwing_event("record_invalid", "job=%016llx field=%s",
+			      (unsigned long long)spec->id, invalid);
+	if (invalid || !spec->kept || waxwing_cell_has_job(cell, spec->id))
 		return;
 	offer.job = (Waxwing__Job *)spec;
 	offer.has_running_before = true;
--- a/src/node/node_cells.c
+++ b/src/node/node_cells.c
@@ -265,6 +265,18 @@
 					       news->owner->incarnation, news->fencing_token);
 }
 
+static bool verdict_is_valid(const struct node_cell *cell, const Waxwing__JobVerdict *verdict)
+{
+	bool valid =
+		verdict->outcome <= WAXWING_JOB_STORED && verdict->reason < WAXWING_ERROR_COUNT;
+
+	if (!valid)
+		waxwing_event("verdict_invalid", "cell=%s job=%016llx outcome=%u reason=%u",
+			      cell->name, (unsigned long long)verdict->job, verdict->outcome,
+			      verdict->reason);
+	return valid;
+}
+
 static void handle_owner_message(struct node_cell *cell, const Waxwing__NodeMessage *message)
 {
 	if (message->fencing_token != waxwing_cell_claim_owner(cell->claim)->fencing_token)
@@ -279,7 +291,7 @@
 		node_jobs_set_accepted(cell, message->accepted);
 	if (message->told)
 		node_queries_add_answer(cell, message->told);
-	if (message->verdict)
+	if (message->verdict && verdict_is_valid(cell, message->verdict))
 		node_jobs_add_verdict(cell, message->verdict);
 }
 
--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -1,5 +1,7 @@
 #include "node_private.h"
 
+#include "job_check.h"
+
 #define LOG_COMPONENT "owner"
 #include "event_log.h"
 #include "log.h"
@@ -593,6 +595,17 @@
 	g_ptr_array_free(news, TRUE);
 }
 
+/* A malformed offer is dropped; its issuer offers the job again, or gives it up in time. */
+static bool offer_is_valid(const struct node_cell *cell, const Waxwing__JobOffer *offer)
+{
+	const char *field = waxwing_job_invalid_field(offer->job);
+
+	if (field)
+		waxwing_event("offer_invalid", "cell=%s job=%016llx field=%s", cell->name,
+			      (unsigned long long)offer->job->id, field);
+	return !field;
+}
+
 static void handle_offer(struct node_cell *cell, const struct issuer *issuer,
 			 Waxwing__NodeMessage *message)
 {
@@ -634,7 +647,7 @@
 		waxwing_cell_withdraw(cell->owned, node_now(cell->node), message->withdraw);
 	if (message->ask)
 		waxwing_cell_query_state(cell->owned, node_now(cell->node), sender, message->ask);
-	if (message->offer)
+	if (message->offer && offer_is_valid(cell, message->offer))
 		handle_offer(cell, issuer, message);
 	cell->node->has_events = true;
 }
--- a/test/node_sim_nodes.h
+++ b/test/node_sim_nodes.h
@@ -5,14 +5,6 @@
 #include "node_sim_executors.h"
 #include "node_sim_store.h"
 
-struct sim_packet {
-	int to;
-	uint64_t to_incarnation; /* 0: any process on the host */
-	uint64_t sender;
-	size_t len;
-	uint8_t *data;
-};
-
 static void packet_arrived(struct cluster_sim *sim, void *data)
 {
 	struct sim_packet *packet = data;
@@ -23,6 +15,8 @@
 		return;
 	if (host->node &&
 	    (!packet->to_incarnation || packet->to_incarnation == host->incarnation)) {
+		if (sim->corrupt_message)
+			sim->corrupt_message(host, packet);
 		message = waxwing__node_message__unpack(NULL, packet->len, packet->data);
 		waxwing_node_handle_message(host->node, packet->sender, message);
 		waxwing__node_message__free_unpacked(message, NULL);
--- a/test/node_sim_types.h
+++ b/test/node_sim_types.h
@@ -154,11 +154,22 @@
 	int64_t submitted_ms;
 };
 
+/* A message between nodes on its way. */
+struct sim_packet {
+	int to;
+	uint64_t to_incarnation; /* 0: any process on the host */
+	uint64_t sender;
+	size_t len;
+	uint8_t *data;
+};
+
 struct cluster_sim {
 	struct waxwing_virtual_clock clock;
 	GSequence *events;
 	uint64_t sequence;
 	GRand *random;
+	/* called with each message before it is delivered; null: none */
+	void (*corrupt_message)(struct sim_host *host, const struct sim_packet *packet);
 	/* state of the store: */
 	GHashTable *entries; /* key -> struct store_entry */
 	GPtrArray *history; /* struct store_event */
