--- a/test/test_node_list.c
+++ b/test/test_node_list.c
@@ -7,7 +7,7 @@
 #include "node_sim.h"
 
 #define SETTLE_MS	    6000
-#define ARRIVAL_INTERVAL_MS 25
+#define ARRIVAL_INTERVAL_MS 50
 #define ANSWERS_MS	    25000
 /* Followers of the entries call for them at least this often. */
 #define FOLLOW_MS 3000
@@ -16,6 +16,10 @@
  * did not stand by.
  */
 #define TAKEOVER_MS 1600
+/* After this, an executor that left the list is not used: its grace and its runs are over. */
+#define LEAVE_MS 3500
+/* Shorter than the lease of an owner's entry. */
+#define RESTART_MS 300
 
 static struct cluster_sim *create_settled(uint32_t seed)
 {
@@ -103,10 +107,52 @@
 	}
 }
 
+/* Asserts that nothing runs on the executor at any time while jobs are submitted for @ms. */
+static void assert_unused(struct cluster_sim *sim, const struct sim_executor *executor, int64_t ms)
+{
+	for (int64_t elapsed_ms = 0; elapsed_ms < ms; elapsed_ms += ARRIVAL_INTERVAL_MS) {
+		submit_jobs(sim, ARRIVAL_INTERVAL_MS);
+		g_assert_cmpuint(executor->runs->len, ==, 0);
+	}
+}
+
+/*
+ * An executor leaves the list, though it still answers. Neither a node that read the list before
+ * and takes the cell over later, nor the owner's new process, uses it again.
+ */
+static void test_left_executor(gconstpointer all_restart)
+{
+	for (uint32_t seed = 1; seed <= 10; seed++) {
+		struct cluster_sim *sim = create_settled(seed);
+		struct sim_executor *left = &sim->executors[0]; /* in failure domain 0 */
+		char key[32];
+
+		submit_jobs(sim, FOLLOW_MS);
+		snprintf(key, sizeof(key), "servers/%s", left->id);
+		store_remove(sim, key);
+		submit_jobs(sim, LEAVE_MS);
+		if (all_restart) {
+			for (int i = 0; i < NODES; i++)
+				node_kill(sim, i);
+			sim_run(sim, RESTART_MS);
+			for (int i = 0; i < NODES; i++)
+				node_start(sim, i);
+		} else {
+			kill_followers(sim);
+		}
+		assert_unused(sim, left, TAKEOVER_MS + 2 * FOLLOW_MS);
+		assert_all_served(sim);
+		sim_destroy(sim);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/node_list/followers", test_followers);
 	g_test_add_func("/node_list/both_lost", test_both_lost);
+	g_test_add_data_func("/node_list/left_executor/takeover", NULL, test_left_executor);
+	g_test_add_data_func("/node_list/left_executor/restart", GINT_TO_POINTER(1),
+			     test_left_executor);
 	return g_test_run();
 }
