--- a/test/node_sim_executors.h
+++ b/test/node_sim_executors.h
@@ -202,7 +202,7 @@
 static void check_start(struct cluster_sim *sim, struct sim_executor *executor,
 			const struct waxwing_run_id *run_id)
 {
-	struct client_job *job = g_hash_table_lookup(sim->jobs, &run_id->job);
+	struct client_job *job = find_client(sim, run_id);
 
 	sim->starts++;
 	for (int i = 0; i < EXECUTORS; i++) {
@@ -237,7 +237,7 @@
 					      struct sim_executor *executor,
 					      const struct executor_call *call)
 {
-	struct client_job *job = g_hash_table_lookup(sim->jobs, &call->run_id.job);
+	struct client_job *job = find_client(sim, &call->run_id);
 	struct executor_run run = { .run_id = call->run_id, .started_ms = sim_now(sim) };
 
 	if (call->token < executor->token)
@@ -335,7 +335,7 @@
 	const struct waxwing_ended_run *row =
 		&g_array_index(executor->ended, struct waxwing_ended_run, index);
 	int64_t ended_ms = g_array_index(executor->ended_at_ms, int64_t, index);
-	struct client_job *job = g_hash_table_lookup(sim->jobs, &row->run_id.job);
+	struct client_job *job = find_client(sim, &row->run_id);
 
 	if (!job || executor->last_expiry_ms >= ended_ms)
 		return;
--- a/test/node_sim_types.h
+++ b/test/node_sim_types.h
@@ -214,6 +214,14 @@
 	return run_id->occurrence * MAX_CLIENT_TASKS + run_id->index;
 }
 
+/* Returns the client whose task it is; null for a task that no client asked for. */
+static struct client_job *find_client(struct cluster_sim *sim, const struct waxwing_run_id *run_id)
+{
+	struct client_job *job = g_hash_table_lookup(sim->jobs, &run_id->job);
+
+	return run_id->index < MAX_CLIENT_TASKS && run_id->occurrence < REPETITIONS ? job : NULL;
+}
+
 static uint32_t client_task_count(const struct client_job *job)
 {
 	return job->tasks * MAX(job->repetitions, 1);
