src/node: a repeated release never touches a successor's entry; leaving nodes serve on

A release now names the entry that the node itself had.

A leaving node refused all new jobs 2.6 s after SIGTERM, though callers whose zone has no other node still reach it. It now takes those that can end before it exits (/node/leaving_serves). A cell refuses nothing for load in the first 0.4 s after a takeover, when the capacity is not known; a job with a free place for a task is admitted.

--- a/src/cell/cell_admission.c
+++ b/src/cell/cell_admission.c
@@ -33,6 +33,12 @@
 /* Number of different times at which refused jobs of one priority come back. */
 #define RETRY_SLOTS 64
 
+/*
+ * After a takeover the capacity is not known for this long: executors have not answered yet, or
+ * have runs whose jobs are still to be offered. No job is refused for load meanwhile.
+ */
+#define TAKEOVER_MS 400
+
 /* A running task's expected end. */
 struct release {
 	double after_ms;
@@ -221,6 +227,11 @@
 		g_sequence_sort_changed(job->ready_iter, job_compare, NULL);
 }
 
+static bool is_taking_over(const struct waxwing_cell *cell, int64_t now_ms)
+{
+	return cell->options.took_over && now_ms - cell->created_ms < TAKEOVER_MS;
+}
+
 static enum admission decide(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms,
 			     uint32_t *wait_ms)
 {
@@ -237,7 +248,8 @@
 	decay_inflow(cell, now_ms);
 	wait = stretch_wait(cell, job, wait, cores);
 	*wait_ms = (uint32_t)MIN(wait, UINT32_MAX);
-	if (wait <= 0 || age_ms + wait + job_work_ms(job) <= target_ms) {
+	if (wait <= 0 || free_cores > 0 || is_taking_over(cell, now_ms) ||
+	    age_ms + wait + job_work_ms(job) <= target_ms) {
 		cell->inflow_cores[priority_index(job)] += job_inflow(job);
 		return ADMITTED_IN_TIME;
 	}
--- a/src/node/cell_claim.c
+++ b/src/node/cell_claim.c
@@ -41,6 +41,7 @@
 	int64_t renewed_ms; /* time of the last successful request or renewal of the lease */
 	enum claim_call pending_call;
 	bool releasing;
+	uint64_t released_token; /* revision of the own entry that is being released */
 	bool leaving;
 	bool destroyed;
 };
@@ -272,7 +273,8 @@
 
 	owner.has_released = true;
 	owner.released = true;
-	send_entry(claim, CALL_RELEASE, &owner, claim->owner.fencing_token, 0);
+	/* never a successor's entry, which may be known by the time of another attempt */
+	send_entry(claim, CALL_RELEASE, &owner, claim->released_token, 0);
 }
 
 static void handle_claim_result(struct waxwing_cell_claim *claim,
@@ -346,6 +348,7 @@
 	if (!claim->owner.is_self)
 		return;
 	claim->releasing = claim->owner.known;
+	claim->released_token = claim->owner.fencing_token;
 	claim->owner.is_self = false;
 	notify_owner_changed(claim);
 }
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -205,9 +205,10 @@
 	       (!durable_jobs_recent || can_accept_durable_jobs(node));
 }
 
-void waxwing_node_leave(struct waxwing_node *node)
+void waxwing_node_leave(struct waxwing_node *node, uint32_t time_left_ms)
 {
 	node->leaving = true;
+	node->leave_by_ms = node_now(node) + time_left_ms;
 	for (guint i = 0; i < node->cells->len; i++)
 		waxwing_cell_claim_release(((struct node_cell *)node->cells->pdata[i])->claim);
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -172,8 +172,11 @@
  */
 uint32_t waxwing_node_reachable_cells(const struct waxwing_node *node);
 
-/** Releases the cells that this node owns and claims no further ones. Pending jobs continue. */
-void waxwing_node_leave(struct waxwing_node *node);
+/**
+ * Releases the cells that this node owns and claims no further ones. Pending jobs continue, and new
+ * ones are accepted as long as they can be expected to end within @time_left_ms.
+ */
+void waxwing_node_leave(struct waxwing_node *node, uint32_t time_left_ms);
 
 /**
  * Answers all waiting callers because the process is about to exit. Jobs that were offered to a
--- a/src/node/node_jobs.c
+++ b/src/node/node_jobs.c
@@ -206,6 +206,28 @@
 	send_offer(pending, now_ms);
 }
 
+/* Returns the time within which the job is expected to end, if its steps run one after the other. */
+static double target_duration_ms(const Waxwing__Job *job)
+{
+	double estimated_ms = 0;
+
+	for (size_t i = 0; i < job->n_steps; i++)
+		estimated_ms += job->steps[i]->estimated_ms;
+	return job->allowance_ms + job->stretch_milli / 1000.0 * estimated_ms;
+}
+
+/*
+ * A node that leaves goes on serving callers whose connections it still gets; a durable job is
+ * answered as soon as it is stored.
+ */
+static bool ends_after_leaving(const struct waxwing_node *node, const Waxwing__Job *job,
+			       int64_t now_ms)
+{
+	double needed_ms = job->kept ? DURABLE_OFFER_RETRY_MS : target_duration_ms(job);
+
+	return node->leaving && (double)now_ms + needed_ms > (double)node->leave_by_ms;
+}
+
 void waxwing_node_submit(struct waxwing_node *node, Waxwing__Job *job,
 			 struct waxwing_job_waiter *waiter)
 {
@@ -229,7 +251,9 @@
 	pending->waiters = waiter;
 	waiter->next = NULL;
 	g_hash_table_insert(node->pending_jobs, &pending->id, pending);
-	offer_to_best_cell(node, pending, now_ms);
+	pending->too_late = ends_after_leaving(node, job, now_ms);
+	if (!pending->too_late)
+		offer_to_best_cell(node, pending, now_ms);
 }
 
 void waxwing_node_withdraw(struct waxwing_node *node, struct waxwing_job_waiter *waiter)
@@ -433,6 +457,10 @@
 {
 	int64_t age_ms = now_ms - pending->arrived_ms;
 
+	if (pending->too_late) {
+		refuse_job(node, pending, false, WAXWING_ERROR_LEAVING);
+		return;
+	}
 	if (age_ms >= pending->job->patience_ms) {
 		withdraw_job(pending);
 		refuse_job(node, pending, pending->cell != NULL, WAXWING_ERROR_DEADLINE);
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -76,6 +76,7 @@
 	bool moved_after_refusal; /* the job was moved once after a refusal for load */
 	/* bit i is set if the cell with index i refused the job */
 	uint32_t refused_cells;
+	bool too_late; /* this node leaves before the job could end; nothing was offered */
 	bool may_be_stored; /* durable job: a cell that gave no verdict may still store it */
 };
 
@@ -106,6 +107,7 @@
 	GPtrArray *verdicts; /* struct queued_verdict, processed after the cells have run */
 	int64_t last_durable_job_ms; /* arrival of the last durable job; 0: none */
 	bool leaving;
+	int64_t leave_by_ms; /* if leaving: when the process exits */
 	bool has_events; /* a cell has had events since it last ran */
 	struct waxwing_histogram
 		answer_ms[WAXWING_JOB_STORED + 1]; /* time from arrival to answer, by outcome */
--- a/test/test_node_faults.c
+++ b/test/test_node_faults.c
@@ -20,6 +20,8 @@
 #define ZONE_OUTAGE_MS 9000
 /* How long nodes are without power; the owners' leases last 1000 ms. */
 #define POWER_CYCLE_MS 200
+/* The platform's grace, less the time in which callers that still wait are answered. */
+#define LEAVE_TIME_MS 5400
 /* Reading the store, one claim, and pings of the new owners. */
 #define RECLAIM_MS 300
 /* Allows for a scan and a tick of 10 ms each, the order's network delay, and a busy executor. */
@@ -84,6 +86,13 @@
 	return index;
 }
 
+static uint64_t store_revision(struct cluster_sim *sim, const char *key)
+{
+	struct store_entry *entry = g_hash_table_lookup(sim->entries, key);
+
+	return entry ? entry->revision : 0;
+}
+
 static void test_no_faults(void)
 {
 	struct cluster_sim *sim = create_settled_sim(1);
@@ -382,7 +391,7 @@
 	int owner = find_owner(sim, 0);
 
 	submit_jobs(sim, 1000);
-	waxwing_node_leave(sim->hosts[owner].node);
+	waxwing_node_leave(sim->hosts[owner].node, LEAVE_TIME_MS);
 	submit_jobs(sim, 2500);
 	g_assert_cmpint(find_owner(sim, 0), !=, owner);
 	g_assert_cmpint(find_owner(sim, 0), >=, 0);
@@ -442,6 +451,84 @@
 	}
 }
 
+/*
+ * The write that releases a cell takes effect without an answer. The leaving node must not repeat
+ * it against the entry of its successor.
+ */
+static void test_release_unanswered(void)
+{
+	for (uint32_t seed = 1; seed <= 10; seed++) {
+		struct cluster_sim *sim = create_settled_sim(seed);
+		int owner = find_owner(sim, 0);
+		uint64_t token;
+
+		submit_jobs(sim, 500);
+		waxwing_node_leave(sim->hosts[owner].node, LEAVE_TIME_MS);
+		sim->store_unanswered_share = 1;
+		sim_run(sim, 20);
+		sim->store_unanswered_share = 0;
+		submit_jobs(sim, 500);
+		g_assert_cmpint(find_owner(sim, 0), !=, owner);
+		token = store_revision(sim, "cells/z0");
+		submit_jobs(sim, 3000);
+		g_assert_cmpint(find_owner(sim, 0), !=, owner);
+		g_assert_cmpuint(store_revision(sim, "cells/z0"), ==, token);
+		node_kill(sim, owner);
+		assert_all_answered(sim);
+		sim_destroy(sim);
+	}
+}
+
+struct leave_wait {
+	struct waxwing_job_waiter waiter; /* must be the first member */
+	struct waxwing_node_answer answer;
+	bool answered;
+};
+
+static void leave_answered(struct waxwing_job_waiter *waiter,
+			   const struct waxwing_node_answer *answer)
+{
+	struct leave_wait *wait = (struct leave_wait *)waiter;
+
+	wait->answer = *answer;
+	wait->answered = true;
+}
+
+/* Submits a job of a task of 100 ms, and returns the outcome after half a second. */
+static struct leave_wait submit_to(struct cluster_sim *sim, int node, uint64_t id)
+{
+	struct client_job job = { .id = id, .tasks = 1, .work_ms = 100 };
+	struct leave_wait wait = { .waiter = { .answer = leave_answered } };
+
+	waxwing_node_submit(sim->hosts[node].node, make_job(&job), &wait.waiter);
+	sim_run(sim, 500);
+	return wait;
+}
+
+/*
+ * Callers whose connections a leaving node still gets are served as long as their jobs can end
+ * before it exits. After that they are told at once that nothing of the job has run.
+ */
+static void test_leaving_serves(void)
+{
+	struct cluster_sim *sim = create_settled_sim(1);
+	struct leave_wait early;
+	struct leave_wait late;
+
+	waxwing_node_leave(sim->hosts[0].node, LEAVE_TIME_MS);
+	sim_run(sim, 4500);
+	early = submit_to(sim, 0, 1000001);
+	sim_run(sim, 300);
+	late = submit_to(sim, 0, 1000002);
+	g_assert_true(early.answered);
+	g_assert_cmpint(early.answer.outcome, ==, WAXWING_JOB_COMPLETED);
+	g_assert_true(late.answered);
+	g_assert_cmpint(late.answer.outcome, ==, WAXWING_JOB_REFUSED);
+	g_assert_cmpint(late.answer.reason, ==, WAXWING_ERROR_LEAVING);
+	g_assert_false(late.answer.may_have_run);
+	sim_destroy(sim);
+}
+
 struct routing_wait {
 	struct waxwing_routing_waiter waiter; /* must be the first member */
 	struct cluster_sim *sim;
@@ -669,7 +756,7 @@
 		for (int zone = 0; zone < ZONES; zone++) {
 			int owner = find_owner(sim, zone);
 
-			waxwing_node_leave(sim->hosts[owner].node);
+			waxwing_node_leave(sim->hosts[owner].node, LEAVE_TIME_MS);
 			submit_jobs(sim, 1500);
 			node_kill(sim, owner);
 			node_start(sim, owner);
@@ -963,6 +1050,8 @@
 	g_test_add_func("/node/all_killed", test_all_killed);
 	g_test_add_func("/node/power_cycle", test_power_cycle);
 	g_test_add_func("/node/await_routing", test_await_routing);
+	g_test_add_func("/node/leaving_serves", test_leaving_serves);
+	g_test_add_func("/node/release_unanswered", test_release_unanswered);
 	g_test_add_func("/node/kept_calm", test_durable_no_faults);
 	g_test_add_func("/node/kept_all_killed", test_durable_all_killed);
 	g_test_add_func("/node/kept_lost_answers", test_durable_lost_answers);
