src/node: a released cell is taken by any domain at once, and handed back

Cause: when all nodes of a failure domain left in turn, its cell had no owner until one was back: nodes of other domains waited 6.5 s, which is meant for a domain that is cut off with its owner. But a released entry shows that it is not cut off. Now they claim a released cell after 0.7 s; nodes of the domain do within 0.25 s. An owner outside hands the cell back when a node of the domain has been there for 1.5 s.

--- a/src/node/cell_claim.c
+++ b/src/node/cell_claim.c
@@ -139,6 +139,7 @@
 {
 	claim->owner.released = true;
 	set_vacant(claim, revision);
+	claim->next_call_ms += (int64_t)claim->options.released_delay_ms - claim->options.delay_ms;
 	claim->replaced_revision = revision;
 	claim->replaces_released = true;
 }
@@ -345,6 +346,11 @@
 void waxwing_cell_claim_release(struct waxwing_cell_claim *claim)
 {
 	claim->leaving = true;
+	waxwing_cell_claim_hand_over(claim);
+}
+
+void waxwing_cell_claim_hand_over(struct waxwing_cell_claim *claim)
+{
 	if (!claim->owner.is_self)
 		return;
 	claim->releasing = claim->owner.known;
@@ -373,11 +379,12 @@
 
 	if (claim->pending_call != CALL_NONE)
 		return;
-	if (claim->leaving) {
-		if (claim->releasing)
-			send_release(claim);
+	if (claim->releasing) {
+		send_release(claim);
 		return;
 	}
+	if (claim->leaving)
+		return;
 	if (now(claim) < claim->next_call_ms || yields_to_owner(claim))
 		return;
 	if (claim->owner.known && claim->owner.is_self && claim->lease)
--- a/src/node/cell_claim.h
+++ b/src/node/cell_claim.h
@@ -41,6 +41,7 @@
 	uint64_t incarnation; /**< incarnation of this process */
 	uint32_t ttl_ms; /**< TTL of the lease on the owner's entry */
 	uint32_t delay_ms; /**< time between the removal of the entry and this node's claim */
+	uint32_t released_delay_ms; /**< the same, after the owner has released the cell */
 	/** additional delay while prepared() is false, so that few nodes prepare at the same time */
 	uint32_t unprepared_delay_ms;
 	/**
@@ -87,6 +88,9 @@
 /** Returns true if this node is about to claim the cell, and therefore should prepare to serve it. */
 bool waxwing_cell_claim_is_due(const struct waxwing_cell_claim *claim);
 
+/** Releases the cell, if owned, so that another node claims it. This node may claim it again. */
+void waxwing_cell_claim_hand_over(struct waxwing_cell_claim *claim);
+
 /** Sends the calls that are due. Call at least every 50 ms. */
 void waxwing_cell_claim_run(struct waxwing_cell_claim *claim);
 
--- a/src/node/node_cells.c
+++ b/src/node/node_cells.c
@@ -27,6 +27,11 @@
  * the domain could not reach the domain's executors, and the running tasks would be lost.
  */
 #define REMOTE_CLAIM_DELAY_MS 6500
+/*
+ * The same, if the owner has released the cell: its domain is not isolated, and nodes of the domain
+ * claim the cell well before this.
+ */
+#define REMOTE_RELEASED_DELAY_MS 700
 
 static void owner_changed(void *data, const struct waxwing_cell_owner_view *owner)
 {
@@ -65,13 +70,13 @@
 	return 1 - MIN(node->options.cpu_share, OWNER_CPU_CORES) / OWNER_CPU_CORES;
 }
 
-static uint32_t claim_delay_ms(const struct waxwing_node *node, const char *cell)
+static uint32_t claim_delay_ms(const struct waxwing_node *node, const char *cell,
+			       uint32_t remote_delay_ms)
 {
 	uint32_t spread = (uint32_t)(node->incarnation >> 32) % CLAIM_SPREAD_MS;
 
 	spread += (uint32_t)(core_shortfall(node) * FEW_CORES_DELAY_MS);
-	return (strcmp(cell, node->options.zone) == 0 ? CLAIM_DELAY_MS : REMOTE_CLAIM_DELAY_MS) +
-	       spread;
+	return (strcmp(cell, node->options.zone) == 0 ? CLAIM_DELAY_MS : remote_delay_ms) + spread;
 }
 
 void node_cells_create(struct waxwing_node *node)
@@ -86,7 +91,10 @@
 			.address = node->options.address,
 			.incarnation = node->incarnation,
 			.ttl_ms = MAX(OWNER_TTL_MS, node->options.min_ttl_ms),
-			.delay_ms = claim_delay_ms(node, node->options.zones[i]),
+			.delay_ms =
+				claim_delay_ms(node, node->options.zones[i], REMOTE_CLAIM_DELAY_MS),
+			.released_delay_ms = claim_delay_ms(node, node->options.zones[i],
+							    REMOTE_RELEASED_DELAY_MS),
 			.unprepared_delay_ms =
 				(uint32_t)(core_shortfall(node) * UNPREPARED_FEW_CORES_DELAY_MS),
 			.owner_changed = owner_changed,
--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -21,6 +21,11 @@
 /* Maximum drift between two machines' clocks from one ping to the next. */
 #define CLOCK_DRIFT_MS 20
 
+/* Issuers with a longer delay before a claim are in other failure domains than the cell. */
+#define REMOTE_ISSUER_DELAY_MS 3000
+/* How long a node of the cell's own domain must have been there before it is given the cell. */
+#define HAND_BACK_DELAY_MS 1500
+
 /* A pending order and the ownership that sent it. */
 struct executor_order {
 	struct node_cell *cell;
@@ -372,6 +377,7 @@
 		return;
 	}
 	cell->ownership_id = node->next_ownership_id++;
+	cell->no_local_ms = node_now(node);
 	cell->owned = waxwing_cell_create(node_now(node), &options);
 	cell->journal = open_journal(cell, token);
 	cell->issuers = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
@@ -452,12 +458,40 @@
 	waxwing_cell_set_list_complete(cell->owned);
 }
 
+/*
+ * Hands a cell of another failure domain over to a node of that domain, once there is one that has
+ * stood by for a while: if the domain is isolated, its cell must have an owner inside.
+ */
+static bool hand_back(struct node_cell *cell, int64_t now_ms)
+{
+	bool has_local = false;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (strcmp(cell->name, cell->node->options.zone) == 0)
+		return false;
+	g_hash_table_iter_init(&iter, cell->issuers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct issuer *issuer = value;
+
+		has_local |=
+			!issuer->is_unresponsive && issuer->claim_delay_ms < REMOTE_ISSUER_DELAY_MS;
+	}
+	if (!has_local)
+		cell->no_local_ms = now_ms;
+	if (now_ms - cell->no_local_ms < HAND_BACK_DELAY_MS)
+		return false;
+	waxwing_event("cell_handed_back", "cell=%s", cell->name);
+	waxwing_cell_claim_hand_over(cell->claim);
+	return true;
+}
+
 void node_owner_run(struct node_cell *cell, int64_t now_ms)
 {
 	GHashTableIter iter;
 	gpointer value;
 
-	if (!cell->owned)
+	if (!cell->owned || hand_back(cell, now_ms))
 		return;
 	confirm_executor_list(cell, now_ms);
 	g_hash_table_iter_init(&iter, cell->issuers);
--- a/test/test_node_faults.c
+++ b/test/test_node_faults.c
@@ -22,6 +22,10 @@
 #define POWER_CYCLE_MS 200
 /* The platform's grace, less the time in which callers that still wait are answered. */
 #define LEAVE_TIME_MS 5400
+/* The delay after a release, with its spread, and a claim. */
+#define REMOTE_TAKEOVER_MS 1100
+/* The time that a node of the domain must have been there, a release and a claim. */
+#define HAND_BACK_MS 2500
 /* Reading the store, one claim, and pings of the new owners. */
 #define RECLAIM_MS 300
 /* Allows for a scan and a tick of 10 ms each, the order's network delay, and a busy executor. */
@@ -479,6 +483,34 @@
 	}
 }
 
+/*
+ * All nodes of a failure domain leave. Another domain's node takes the cell without the delay that
+ * an isolated domain is given, and hands it back once the domain has a node again.
+ */
+static void test_domain_restarts(void)
+{
+	for (uint32_t seed = 1; seed <= 10; seed++) {
+		struct cluster_sim *sim = create_settled_sim(seed);
+
+		submit_jobs(sim, 500);
+		for (int i = 0; i < NODES; i += ZONES)
+			waxwing_node_leave(sim->hosts[i].node, LEAVE_TIME_MS);
+		submit_jobs(sim, REMOTE_TAKEOVER_MS);
+		g_assert_cmpint(find_owner(sim, 0), >=, 0);
+		g_assert_cmpint(find_owner(sim, 0) % ZONES, !=, 0);
+		for (int i = 0; i < NODES; i += ZONES)
+			node_kill(sim, i);
+		submit_jobs(sim, 500);
+		node_start(sim, 0);
+		submit_jobs(sim, HAND_BACK_MS);
+		g_assert_cmpint(find_owner(sim, 0), ==, 0);
+		node_start(sim, ZONES);
+		submit_jobs(sim, 500);
+		assert_all_answered(sim);
+		sim_destroy(sim);
+	}
+}
+
 struct leave_wait {
 	struct waxwing_job_waiter waiter; /* must be the first member */
 	struct waxwing_node_answer answer;
@@ -1051,6 +1083,7 @@
 	g_test_add_func("/node/power_cycle", test_power_cycle);
 	g_test_add_func("/node/await_routing", test_await_routing);
 	g_test_add_func("/node/leaving_serves", test_leaving_serves);
+	g_test_add_func("/node/domain_restarts", test_domain_restarts);
 	g_test_add_func("/node/release_unanswered", test_release_unanswered);
 	g_test_add_func("/node/kept_calm", test_durable_no_faults);
 	g_test_add_func("/node/kept_all_killed", test_durable_all_killed);
