--- a/src/cell/job_check.c
+++ b/src/cell/job_check.c
@@ -13,6 +13,18 @@
 	return true;
 }
 
+/*
+ * Fields that this build does not know are kept, as another build may know them. But the decoder
+ * takes a field numbered 0 for one, and the message could not be decoded again from the journal.
+ */
+static bool unknown_fields_valid(const ProtobufCMessage *message)
+{
+	for (unsigned int i = 0; i < message->n_unknown_fields; i++)
+		if (!message->unknown_fields[i].tag)
+			return false;
+	return true;
+}
+
 static bool resources_valid(const Waxwing__JobStep *step)
 {
 	return step->cpu_milli <= INT32_MAX && step->mem_mb <= INT32_MAX &&
@@ -27,6 +39,8 @@
 	if (!job->n_steps || job->n_steps > WAXWING_JOB_MAX_STEPS)
 		return "steps";
 	for (size_t i = 0; i < job->n_steps; i++) {
+		if (!unknown_fields_valid(&job->steps[i]->base))
+			return "steps, field 0";
 		if (!job->steps[i]->count)
 			return "steps.count";
 		if (!dependencies_valid(job->steps[i], i))
@@ -40,6 +54,8 @@
 
 const char *waxwing_job_invalid_field(const Waxwing__Job *job)
 {
+	if (!unknown_fields_valid(&job->base))
+		return "field 0";
 	if (strlen(job->spec) > WAXWING_JOB_MAX_SPEC_BYTES)
 		return "spec";
 	if (job->repetitions > WAXWING_JOB_MAX_REPETITIONS || (job->repetitions && !job->kept))
--- a/test/test_fuzz.c
+++ b/test/test_fuzz.c
@@ -8,6 +8,8 @@
 #include "event_log.h"
 #include "executor_http.h"
 #include "job_body.h"
+#include "job_check.h"
+#include "message.h"
 #include "node_sim.h"
 #include "permits_http.h"
 #include "settings_file.h"
@@ -16,6 +18,8 @@
 
 #define DEFAULT_INPUTS 3000
 #define MAX_MUTATIONS  6
+/* Mutations of a packed job are short, so many more are tried. */
+#define COPIES_PER_INPUT 200
 /* Jobs that are submitted after the corrupted messages, and how many of them must be served. */
 #define JOBS_AFTER   40
 #define SERVED_AFTER 38
@@ -239,6 +243,41 @@
 	     decode_store_answer);
 }
 
+/* A job that passes the checks can be copied, as the journal does, whatever its unknown fields. */
+static void test_job_copies(void)
+{
+	Waxwing__Job valid = WAXWING__JOB__INIT;
+	Waxwing__JobStep step = WAXWING__JOB_STEP__INIT;
+	Waxwing__JobStep *steps[] = { &step };
+	uint8_t packed[128];
+	size_t len;
+
+	valid.queue = valid.service = valid.spec = (char *)"text";
+	valid.n_steps = 1;
+	valid.steps = steps;
+	step.count = 2;
+	step.has_cpu_milli = step.has_estimated_ms = true;
+	len = waxwing__job__pack(&valid, packed);
+	for (int i = 0; i < COPIES_PER_INPUT * input_count(); i++) {
+		uint8_t mutated[sizeof(packed)];
+		Waxwing__Job *job;
+		void *copy;
+
+		memcpy(mutated, packed, len);
+		for (int k = g_test_rand_int_range(1, 4); k > 0; k--)
+			mutated[g_test_rand_int_range(0, (int)len)] =
+				(uint8_t)g_test_rand_int_range(0, 256);
+		job = waxwing__job__unpack(NULL, len, mutated);
+		if (!job)
+			continue;
+		copy = waxwing_message_copy(&job->base);
+		g_assert_true(copy || waxwing_job_invalid_field(job));
+		if (copy)
+			waxwing__job__free_unpacked(copy, NULL);
+		waxwing__job__free_unpacked(job, NULL);
+	}
+}
+
 /* Delivers a mutated copy of a message between nodes before the message itself. */
 static void deliver_corrupted(struct sim_host *host, const struct sim_packet *packet)
 {
@@ -349,6 +388,7 @@
 	g_test_add_func("/fuzz/permits", test_permits);
 	g_test_add_func("/fuzz/hold", test_hold);
 	g_test_add_func("/fuzz/store_answer", test_store_answer);
+	g_test_add_func("/fuzz/job_copies", test_job_copies);
 	g_test_add_func("/fuzz/messages", test_messages);
 	g_test_add_func("/fuzz/stored_records", test_stored_records);
 	return g_test_run();
