--- a/src/node/node_jobs.c
+++ b/src/node/node_jobs.c
@@ -453,6 +453,18 @@
 	}
 }
 
+/*
+ * Returns how long a job waits for a cell whose owner is reachable. While the store does not
+ * answer, no cell gets a new owner, so waiting is of no use.
+ */
+static double no_cell_timeout_ms(const struct waxwing_node *node, const struct pending_job *pending,
+				 int64_t now_ms)
+{
+	if (node->store_lost_ms && now_ms - node->store_lost_ms >= NO_CELL_TIMEOUT_MS)
+		return 0;
+	return MIN(NO_CELL_TIMEOUT_MS, pending->job->patience_ms * NO_CELL_WAIT_SHARE);
+}
+
 static void run_pending_job(struct waxwing_node *node, struct pending_job *pending, int64_t now_ms)
 {
 	int64_t age_ms = now_ms - pending->arrived_ms;
@@ -471,8 +483,7 @@
 		return;
 	}
 	offer_to_best_cell(node, pending, now_ms);
-	if (!pending->cell && (double)age_ms >= MIN(NO_CELL_TIMEOUT_MS,
-						    pending->job->patience_ms * NO_CELL_WAIT_SHARE))
+	if (!pending->cell && (double)age_ms >= no_cell_timeout_ms(node, pending, now_ms))
 		refuse_job(node, pending, false, WAXWING_ERROR_NOT_READY);
 }
 
