src/cell: admission looks for a free place first, and plans only when there is none

No change of what is decided but for a job behind others, which a free place no longer admits by itself. An offer with room costs a scan up to the first free place in place of a sort of all runs' ends.

--- a/src/cell/cell_admission.c
+++ b/src/cell/cell_admission.c
@@ -6,8 +6,6 @@
  */
 #include "cell_private.h"
 
-#include <stdlib.h>
-
 #define LOG_COMPONENT "admission"
 #include "event_log.h"
 #include "log.h"
@@ -105,32 +103,51 @@
 	}
 }
 
+static double task_cores(const struct cell_job *job)
+{
+	return (double)step_needs(job->spec->steps[0]).cpu_milli / 1000;
+}
+
+static bool may_serve(const struct executor *executor, const struct cell_job *job, int64_t now_ms)
+{
+	return executor_usable(executor, now_ms) &&
+	       strcmp(executor->service, job->spec->service) == 0;
+}
+
+/* Returns true if one of the job's tasks can start now. */
+static bool has_free_place(const struct waxwing_cell *cell, const struct cell_job *job,
+			   int64_t now_ms)
+{
+	for (guint i = 0; i < cell->executors->len; i++) {
+		const struct executor *executor = cell->executors->pdata[i];
+
+		if (may_serve(executor, job, now_ms) && usable_cores(executor, task_cores(job)) > 0)
+			return true;
+	}
+	return false;
+}
+
 /*
  * Returns the time until @needed cores have become free: those that are free now, and those of
- * running tasks as they end. Sets @total_cores to the cores of all usable executors.
+ * running tasks as they end.
  */
 static double time_until_free_ms(const struct waxwing_cell *cell, const struct cell_job *job,
-				 double needed, int64_t now_ms, double *total_cores,
-				 double *free_cores)
+				 double needed, int64_t now_ms)
 {
 	GArray *releases = g_array_new(FALSE, FALSE, sizeof(struct release));
-	double task_cores = (double)step_needs(job->spec->steps[0]).cpu_milli / 1000;
+	double total_cores = 0;
 	double core_ms = 0;
 	double wait_ms = 0;
 
-	*total_cores = 0;
-	*free_cores = 0;
 	for (guint i = 0; i < cell->executors->len; i++) {
 		const struct executor *executor = cell->executors->pdata[i];
 
-		if (!executor_usable(executor, now_ms) ||
-		    strcmp(executor->service, job->spec->service) != 0)
+		if (!may_serve(executor, job, now_ms))
 			continue;
-		*total_cores += (double)executor->capacity.cpu_milli / 1000;
-		*free_cores += usable_cores(executor, task_cores);
+		total_cores += (double)executor->capacity.cpu_milli / 1000;
+		needed -= usable_cores(executor, task_cores(job));
 		add_releases(executor, now_ms, releases);
 	}
-	needed -= *free_cores;
 	g_array_sort(releases, compare_releases);
 	for (guint i = 0; i < releases->len && needed > 0; i++) {
 		const struct release *release = &g_array_index(releases, struct release, i);
@@ -140,9 +157,9 @@
 		wait_ms = release->after_ms;
 	}
 	/* the tasks that start meanwhile end in turn */
-	if (needed > 0 && *total_cores > 0)
-		wait_ms += needed * (core_ms / *total_cores + job_work_ms(job)) /
-			   (*total_cores * PACKED_SHARE);
+	if (needed > 0 && total_cores > 0)
+		wait_ms += needed * (core_ms / total_cores + job_work_ms(job)) /
+			   (total_cores * PACKED_SHARE);
 	g_array_free(releases, TRUE);
 	return wait_ms;
 }
@@ -232,27 +249,26 @@
 	return cell->options.took_over && now_ms - cell->created_ms < TAKEOVER_MS;
 }
 
-static enum admission decide(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms,
+static enum admission decide(struct waxwing_cell *cell, const struct cell_job *job, int64_t now_ms,
 			     uint32_t *wait_ms)
 {
 	double target_ms = (double)(job->due_ms - job->arrived_ms);
+	double useful_ms = MIN(GIVE_UP_FACTOR * target_ms, (double)job->spec->patience_ms);
 	double age_ms = (double)(now_ms - job->arrived_ms);
-	double total_cores;
-	double free_cores;
 	double ahead = cores_ahead(cell, job);
-	double wait = time_until_free_ms(cell, job, ahead + ready_cores(job), now_ms, &total_cores,
-					 &free_cores);
-	double cores = cell_capacity(cell, job->spec->service, now_ms) * PACKED_SHARE;
-	double useful_ms = MIN(GIVE_UP_FACTOR * target_ms, (double)job->spec->patience_ms);
+	double cores;
+	double wait;
 
+	*wait_ms = 0;
 	decay_inflow(cell, now_ms);
+	if (is_taking_over(cell, now_ms) || (ahead <= 0 && has_free_place(cell, job, now_ms)))
+		return ADMITTED_IN_TIME;
+	cores = cell_capacity(cell, job->spec->service, now_ms) * PACKED_SHARE;
+	wait = time_until_free_ms(cell, job, ahead + ready_cores(job), now_ms);
 	wait = stretch_wait(cell, job, wait, cores);
 	*wait_ms = (uint32_t)MIN(wait, UINT32_MAX);
-	if (wait <= 0 || free_cores > 0 || is_taking_over(cell, now_ms) ||
-	    age_ms + wait + job_work_ms(job) <= target_ms) {
-		cell->inflow_cores[priority_index(job)] += job_inflow(job);
+	if (wait <= 0 || age_ms + wait + job_work_ms(job) <= target_ms)
 		return ADMITTED_IN_TIME;
-	}
 	if (age_ms + late_end_ms(cell, job, cores) <= useful_ms)
 		return ADMITTED_LATE;
 	return ADMISSION_REFUSED;
@@ -270,6 +286,8 @@
 		set_neglected(job);
 	admission = decide(cell, job, now_ms, wait_ms);
 	queue->admitted += admission != ADMISSION_REFUSED;
+	if (admission == ADMITTED_IN_TIME)
+		cell->inflow_cores[priority_index(job)] += job_inflow(job);
 	return admission;
 }
 
