--- a/src/cell/cell_admission.c
+++ b/src/cell/cell_admission.c
@@ -264,6 +264,9 @@
 	if (is_taking_over(cell, now_ms) || (ahead <= 0 && has_free_place(cell, job, now_ms)))
 		return ADMITTED_IN_TIME;
 	cores = cell_capacity(cell, job->spec->service, now_ms) * PACKED_SHARE;
+	/* no executor can be used now; another cell may have one */
+	if (cores <= 0)
+		return ADMISSION_REFUSED;
 	wait = time_until_free_ms(cell, job, ahead + ready_cores(job), now_ms);
 	wait = stretch_wait(cell, job, wait, cores);
 	*wait_ms = (uint32_t)MIN(wait, UINT32_MAX);
--- a/test/test_cell.c
+++ b/test/test_cell.c
@@ -314,6 +314,24 @@
 	tear_down(&fixture);
 }
 
+/* While no executor can be used, jobs are refused at once, so that another cell can take them. */
+static void test_no_usable_executor(void)
+{
+	static const struct waxwing_hold_answer no_answer = { .result = WAXWING_HOLD_NO_ANSWER };
+	struct fixture fixture;
+	uint64_t handle;
+
+	set_up(&fixture, false);
+	handle = ready_executor(&fixture, "a", 8000);
+	waxwing_cell_hold_answered(fixture.cell, fixture.now_ms, handle, &no_answer);
+	offer(&fixture, 1, 1, 6000, 1000, false);
+	g_assert_cmpuint(fixture.recorder.verdicts->len, ==, 1);
+	g_assert_cmpuint(verdict_at(&fixture, 0)->outcome, ==, WAXWING_JOB_REFUSED);
+	g_assert_cmpuint(verdict_at(&fixture, 0)->reason, ==, WAXWING_ERROR_OVERLOAD);
+	g_assert_cmpuint(verdict_at(&fixture, 0)->retry_after_ms, >, 0);
+	tear_down(&fixture);
+}
+
 /*
  * A start order that is delayed on its way is not listed yet. Neither its task nor its capacity is
  * free before the stop order was answered, however many lists of runs leave it out.
@@ -464,6 +482,7 @@
 	g_test_add_func("/cell/adopts_later_step", test_adopts_later_step);
 	g_test_add_func("/cell/lists_after_a_cut", test_lists_after_partition);
 	g_test_add_func("/cell/start_unanswered", test_start_unanswered);
+	g_test_add_func("/cell/no_usable_executor", test_no_usable_executor);
 	g_test_add_func("/cell/start_delayed/task", test_delayed_start_of_task);
 	g_test_add_func("/cell/start_delayed/left_job", test_delayed_start_of_left_job);
 	g_test_add_func("/cell/new_life", test_new_incarnation);
