src/node: a cell is handed back only to a node that reaches the store

/node_change/hand_back_needs_store failed before: the cell changed hands every 2 s between a node that could not claim it and the owner outside.

--- a/src/node/node_cells.c
+++ b/src/node/node_cells.c
@@ -189,7 +189,8 @@
 		tokens[i] = waxwing_cell_claim_owner(((struct node_cell *)cells->pdata[i])->claim)
 				    ->fencing_token;
 	ping.known_tokens = tokens;
-	ping.has_claim_delay_ms = !cell->node->leaving;
+	/* without the store, this node cannot claim the cell */
+	ping.has_claim_delay_ms = !cell->node->leaving && !cell->node->store_lost_ms;
 	ping.claim_delay_ms = cell->claim_delay_ms;
 	message.ping = &ping;
 	node_send(cell, &message);
--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -23,8 +23,12 @@
 
 /* Issuers with a longer delay before a claim are in other failure domains than the cell. */
 #define REMOTE_ISSUER_DELAY_MS 3000
-/* How long a node of the cell's own domain must have been there before it is given the cell. */
-#define HAND_BACK_DELAY_MS 1500
+/*
+ * How long a node of the cell's own domain must have been there before it is given the cell: longer
+ * than the 2.2 s after which a node notices that the store does not answer (a watch call's wait and
+ * its response timeout).
+ */
+#define HAND_BACK_DELAY_MS 3000
 
 /* A pending order and the ownership that sent it. */
 struct executor_order {
--- a/test/test_node_change.c
+++ b/test/test_node_change.c
@@ -11,7 +11,7 @@
 /* The delay after a release, with its spread, and a claim. */
 #define REMOTE_TAKEOVER_MS 1100
 /* The time that a node of the domain must have been there, a release and a claim. */
-#define HAND_BACK_MS 2500
+#define HAND_BACK_MS 4000
 
 /*
  * All nodes lose power for less than the time to live of the owners' leases. The owners' new
@@ -99,6 +99,34 @@
 	}
 }
 
+/*
+ * A domain's only node cannot reach the store. The owner outside does not hand the cell over to it,
+ * since it could not claim the cell.
+ */
+static void test_hand_back_needs_store(void)
+{
+	struct cluster_sim *sim = create_settled_sim(1);
+	uint64_t token;
+
+	for (int i = 0; i < NODES; i += ZONES)
+		waxwing_node_leave(sim->hosts[i].node, LEAVE_TIME_MS);
+	sim_run(sim, REMOTE_TAKEOVER_MS);
+	for (int i = 0; i < NODES; i += ZONES)
+		node_kill(sim, i);
+	node_start(sim, 0);
+	sim_run(sim, 200);
+	sim->hosts[0].store_unreachable = true;
+	token = store_revision(sim, "cells/z0");
+	g_assert_cmpuint(token, !=, 0);
+	submit_jobs(sim, 3 * HAND_BACK_MS);
+	g_assert_cmpuint(store_revision(sim, "cells/z0"), ==, token);
+	sim->hosts[0].store_unreachable = false;
+	submit_jobs(sim, 2 * HAND_BACK_MS);
+	g_assert_cmpint(find_owner(sim, 0), ==, 0);
+	assert_all_answered(sim);
+	sim_destroy(sim);
+}
+
 struct leave_wait {
 	struct waxwing_job_waiter waiter; /* must be the first member */
 	struct waxwing_node_answer answer;
@@ -229,6 +257,7 @@
 	g_test_add_func("/node_change/await_routing", test_await_routing);
 	g_test_add_func("/node_change/leaving_serves", test_leaving_serves);
 	g_test_add_func("/node_change/domain_restarts", test_domain_restarts);
+	g_test_add_func("/node_change/hand_back_needs_store", test_hand_back_needs_store);
 	g_test_add_func("/node_change/isolated_without_owner", test_isolated_without_owner);
 	g_test_add_func("/node_change/release_unanswered", test_release_unanswered);
 	return g_test_run();
