src/cell: a job whose verdict may have been forgotten is not refused as not run

Six seconds later the owner had forgotten its verdict; the issuer's next offer was taken for a new job and refused, and the caller was told that nothing had run.

--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -16,6 +16,8 @@
 #define SUSPECT_MIN_OUTCOMES  2.0
 /* How long a verdict is repeated to issuers that offer the job again. */
 #define VERDICT_CACHE_MS 6000
+/* Maximum time from an issuer's offer to the owner. */
+#define OFFER_TRANSIT_MS 500
 /* A job past its due time is not deferred if at most this share of its tasks remains. */
 #define NEARLY_DONE_SHARE 0.25
 /*
@@ -691,6 +693,16 @@
 	return admission == ADMISSION_REFUSED;
 }
 
+/*
+ * Returns true if the job may have been offered before, started, stopped because its issuer was
+ * silent, and forgotten together with its verdict.
+ */
+static bool may_be_forgotten(const Waxwing__JobOffer *offer)
+{
+	return !offer->job->kept && !offer->running_before &&
+	       offer->age_ms + OFFER_TRANSIT_MS >= VERDICT_CACHE_MS;
+}
+
 void waxwing_cell_offer(struct waxwing_cell *cell, int64_t now_ms, uint64_t issuer,
 			Waxwing__JobOffer *offer)
 {
@@ -703,8 +715,8 @@
 			 answer_known_offer(cell, issuer, offer))
 		return;
 	job = cell_find_job(cell, spec->id);
-	if (job) {
-		/* runs of an earlier submission are still being stopped */
+	if (job || may_be_forgotten(offer)) {
+		/* runs of an earlier submission are still being stopped, or may have been */
 		job_reject_offer(cell, now_ms, issuer, offer, WAXWING_JOB_GIVEN_UP,
 				 WAXWING_ERROR_OUTCOME_UNKNOWN, MIN_RETRY_AFTER_MS);
 		return;
--- a/test/cell_fixture.h
+++ b/test/cell_fixture.h
@@ -247,6 +247,9 @@
 /* Template of the steps of jobs that are offered next. */
 static Waxwing__JobStep step_template = WAXWING__JOB_STEP__INIT;
 
+/* Age of jobs that are offered next. */
+static uint32_t next_age_ms;
+
 /* Adds a second step, which depends on the first and has as many tasks, to jobs offered next. */
 static bool offer_two_steps;
 
@@ -283,6 +286,7 @@
 	second.n_after = 1;
 	second.after = &first;
 	offer.job = &job;
+	offer.age_ms = next_age_ms;
 	offer.has_running_before = true;
 	offer.running_before = running_before;
 	len = waxwing__job_offer__pack(&offer, packed);
--- a/test/test_cell.c
+++ b/test/test_cell.c
@@ -314,6 +314,36 @@
 	tear_down(&fixture);
 }
 
+/*
+ * A job was started, and stopped because its issuer was silent. When the issuer offers it again
+ * after its verdict was discarded, the cell must not say that it has not run.
+ */
+static void test_forgotten_job(void)
+{
+	struct fixture fixture;
+	struct waxwing_ended_run ended = { .number = 1, .end = WAXWING_RUN_STOPPED };
+	uint64_t handle;
+
+	set_up(&fixture, false);
+	handle = ready_executor(&fixture, "a", 8000);
+	offer(&fixture, 1, 1, 6000, 100, false);
+	advance(&fixture, 10);
+	answer_started(&fixture, 0);
+	waxwing_cell_stop_issuer_jobs(fixture.cell, fixture.now_ms, WAXWING_ISSUER_SELF);
+	ended.run_id = start_at(&fixture, 0)->run_id;
+	answer_hold(&fixture, handle, NULL, 0, &ended, 1);
+	g_assert_cmpuint(fixture.recorder.verdicts->len, ==, 0);
+	advance(&fixture, 6500);
+	next_age_ms = 6510;
+	offer(&fixture, 1, 1, 6000, 100, false);
+	next_age_ms = 0;
+	advance(&fixture, 1000);
+	g_assert_cmpuint(fixture.recorder.verdicts->len, ==, 1);
+	g_assert_cmpuint(verdict_at(&fixture, 0)->outcome, ==, WAXWING_JOB_GIVEN_UP);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 1);
+	tear_down(&fixture);
+}
+
 /* While no executor can be used, jobs are refused at once, so that another cell can take them. */
 static void test_no_usable_executor(void)
 {
@@ -482,6 +512,7 @@
 	g_test_add_func("/cell/adopts_later_step", test_adopts_later_step);
 	g_test_add_func("/cell/lists_after_a_cut", test_lists_after_partition);
 	g_test_add_func("/cell/start_unanswered", test_start_unanswered);
+	g_test_add_func("/cell/forgotten_job", test_forgotten_job);
 	g_test_add_func("/cell/no_usable_executor", test_no_usable_executor);
 	g_test_add_func("/cell/start_delayed/task", test_delayed_start_of_task);
 	g_test_add_func("/cell/start_delayed/left_job", test_delayed_start_of_left_job);
