--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -481,7 +481,8 @@
 		has_local |=
 			!issuer->is_unresponsive && issuer->claim_delay_ms < REMOTE_ISSUER_DELAY_MS;
 	}
-	if (!has_local)
+	/* a release that does not reach the store would leave the cell without an owner */
+	if (!has_local || cell->node->store_lost_ms)
 		cell->no_local_ms = now_ms;
 	if (now_ms - cell->no_local_ms < HAND_BACK_DELAY_MS)
 		return false;
--- a/test/test_node_change.c
+++ b/test/test_node_change.c
@@ -12,6 +12,8 @@
 #define REMOTE_TAKEOVER_MS 1100
 /* The time that a node of the domain must have been there, a release and a claim. */
 #define HAND_BACK_MS 4000
+/* Shorter than the lease of the owner's entry, after which its domain may claim the cell. */
+#define STORE_LOST_MS 900
 
 /*
  * All nodes lose power for less than the time to live of the owners' leases. The owners' new
@@ -107,6 +109,7 @@
 {
 	struct cluster_sim *sim = create_settled_sim(1);
 	uint64_t token;
+	int owner;
 
 	for (int i = 0; i < NODES; i += ZONES)
 		waxwing_node_leave(sim->hosts[i].node, LEAVE_TIME_MS);
@@ -120,7 +123,13 @@
 	g_assert_cmpuint(token, !=, 0);
 	submit_jobs(sim, 3 * HAND_BACK_MS);
 	g_assert_cmpuint(store_revision(sim, "cells/z0"), ==, token);
+	/* nor does an owner that cannot reach the store itself */
+	owner = find_owner(sim, 0);
 	sim->hosts[0].store_unreachable = false;
+	sim->hosts[owner].store_unreachable = true;
+	submit_jobs(sim, STORE_LOST_MS);
+	g_assert_cmpuint(waxwing_node_reachable_cells(sim->hosts[owner].node), ==, ZONES);
+	sim->hosts[owner].store_unreachable = false;
 	submit_jobs(sim, 2 * HAND_BACK_MS);
 	g_assert_cmpint(find_owner(sim, 0), ==, 0);
 	assert_all_answered(sim);
