src/cell: log lines and a counter for starts without an answer

An unanswered start, and a task set free after its stop was answered, had no line; a run ended by a list had one (run_vanished), as had an expired lease (leases_out). Now start_unanswered and run_released are there, and waxwing_cell_starts_unanswered_total counts. With them the log alone tells a list that leaves a run out, a lease that was thought to be over and a job that runs in two cells apart.

--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -328,6 +328,7 @@
 	uint32_t free_milli; /**< free CPU, in thousandths of a core, weighted by speed */
 	uint32_t wait_ms; /**< expected wait of a task that arrives now */
 	uint64_t starts;
+	uint64_t starts_unanswered; /**< start orders whose outcome is not known */
 	uint64_t done;
 	uint64_t failed;
 	uint64_t lapsed;
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -251,6 +251,7 @@
 	double queued_core_ms; /* work of ready tasks, in core milliseconds at speed 1 */
 	struct waxwing_histogram start_wait_ms; /* from a job's arrival to its first start */
 	uint64_t starts;
+	uint64_t starts_unanswered;
 	uint64_t done;
 	uint64_t failed;
 	uint64_t lapsed;
--- a/src/cell/cell_run.c
+++ b/src/cell/cell_run.c
@@ -270,6 +270,10 @@
 		discard_unstarted(cell, run, "unreachable");
 		break;
 	case WAXWING_START_UNKNOWN:
+		cell->starts_unanswered++;
+		waxwing_event("start_unanswered", "job=%016llx step=%u index=%u run=%u executor=%s",
+			      (unsigned long long)id->job, id->step, id->index, id->run,
+			      executor->id);
 		executor_add_failure(cell, executor, now_ms, START_FAILURE_WEIGHT);
 		executor->backoff_until_ms = now_ms + EXECUTOR_BACKOFF_MS;
 		run_stop(cell, run, now_ms);
@@ -330,6 +334,9 @@
 {
 	struct cell_job *job = run->job;
 
+	waxwing_event("run_released", "job=%016llx step=%u index=%u run=%u executor=%s",
+		      (unsigned long long)run->id.job, run->id.step, run->id.index, run->id.run,
+		      run->executor->id);
 	detach_from_task(run);
 	requeue_task(cell, job, run->id.step, run->id.index);
 }
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -302,6 +302,7 @@
 				       "waxwing_cell_waiting_tasks{cell=\"%s\"} %u\n"
 				       "waxwing_cell_runs{cell=\"%s\"} %u\n"
 				       "waxwing_cell_starts_total{cell=\"%s\"} %llu\n"
+				       "waxwing_cell_starts_unanswered_total{cell=\"%s\"} %llu\n"
 				       "waxwing_cell_done_total{cell=\"%s\"} %llu\n"
 				       "waxwing_cell_failed_total{cell=\"%s\"} %llu\n"
 				       "waxwing_cell_lapsed_total{cell=\"%s\"} %llu\n"
@@ -310,6 +311,7 @@
 				       cell->name, stats.jobs, cell->name, stats.waiting_tasks,
 				       cell->name, stats.runs, cell->name,
 				       (unsigned long long)stats.starts, cell->name,
+				       (unsigned long long)stats.starts_unanswered, cell->name,
 				       (unsigned long long)stats.done, cell->name,
 				       (unsigned long long)stats.failed, cell->name,
 				       (unsigned long long)stats.lapsed, cell->name,
