--- a/test/node_sim.h
+++ b/test/node_sim.h
@@ -88,12 +88,14 @@
 	waxwing_virtual_clock_init(&sim->clock, 10000);
 	sim->random = g_rand_new_with_seed(seed);
 	sim->max_work_ms = MAX_WORK_MS;
+	sim->store_delay_ms = STORE_DELAY_MS;
+	sim->client_patience_ms = CLIENT_PATIENCE_MS;
 	sim->events = g_sequence_new(g_free);
 	sim->entries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, entry_free);
 	sim->history = g_ptr_array_new_with_free_func(history_free);
 	sim->leases = g_array_new(FALSE, FALSE, sizeof(struct store_lease));
 	sim->watchers = g_ptr_array_new();
-	sim->jobs = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	sim->jobs = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, client_free);
 	for (int i = 0; i < EXECUTORS; i++) {
 		struct sim_executor *executor = &sim->executors[i];
 
--- a/test/node_sim_executors.h
+++ b/test/node_sim_executors.h
@@ -89,6 +89,7 @@
 	const struct sim_executor *executor = &sim->executors[call->executor];
 
 	return !executor->powered_off && !executor->isolated &&
+	       !executor->isolated_from[call->host_index] &&
 	       executor->started_ms == call->target_started_ms &&
 	       zones_connected(sim, sim->hosts[call->host_index].zone, executor->zone);
 }
@@ -109,7 +110,8 @@
 	}
 	call->clock_ms = executor_clock(sim, executor);
 	call->started_ms = executor->started_ms;
-	if (!is_executor_reachable(sim, call)) {
+	if (!is_executor_reachable(sim, call) || executor->loses_answers ||
+	    sim_chance(sim, sim->lost_answer_share)) {
 		call->unanswered = true;
 		call->start_answer = WAXWING_START_UNKNOWN;
 		call->hold_result = WAXWING_HOLD_NO_ANSWER;
@@ -407,15 +409,14 @@
 	}
 }
 
-/* Delays an order by seconds; the sender gets no answer. */
-static void delay_order(struct executor_call *call)
+/* Delays an order by @delay_ms; the sender gets no answer. */
+static void delay_order(struct executor_call *call, int64_t delay_ms)
 {
 	struct cluster_sim *sim = call->sim;
 	struct executor_call *late = g_memdup2(call, sizeof(*call));
 
 	late->delivered_late = true;
-	sim_schedule(sim, 2000 + (int64_t)(g_rand_double(sim->random) * 8000),
-		     executor_call_arrived, late);
+	sim_schedule(sim, delay_ms, executor_call_arrived, late);
 	call->unanswered = true;
 	call->start_answer = WAXWING_START_UNKNOWN;
 	call->hold_result = WAXWING_HOLD_NO_ANSWER;
@@ -444,8 +445,12 @@
 
 static void executor_send(struct executor_call *call)
 {
-	if (sim_chance(call->sim, call->sim->late_order_share))
-		delay_order(call);
+	struct cluster_sim *sim = call->sim;
+
+	if (sim_chance(sim, sim->late_order_share))
+		delay_order(call, 2000 + (int64_t)(g_rand_double(sim->random) * 8000));
+	else if (sim_chance(sim, sim->delayed_order_share))
+		delay_order(call, g_rand_int_range(sim->random, 150, 950));
 	else
 		sim_schedule(call->sim, NETWORK_DELAY_MS, executor_call_arrived, call);
 }
--- a/test/node_sim_nodes.h
+++ b/test/node_sim_nodes.h
@@ -33,7 +33,8 @@
 	struct sim_packet *packet;
 
 	if (!zones_connected(sim, from->zone, sim->hosts[to].zone) ||
-	    (sim->hosts[to].drops_incoming && to != from->index))
+	    (sim->hosts[to].drops_incoming && to != from->index) ||
+	    sim_chance(sim, sim->lost_message_share))
 		return;
 	packet = g_new0(struct sim_packet, 1);
 	packet->to = to;
@@ -178,6 +179,17 @@
 	sim_schedule(job->sim, RESUBMIT_DELAY_MS, client_resubmit, job);
 }
 
+/* Ends the client's wait for the answer to its last submission, if there is one. */
+static void end_submission(const struct client_job *job)
+{
+	struct client_submission *last;
+
+	if (!job->submissions->len)
+		return;
+	last = job->submissions->pdata[job->submissions->len - 1];
+	last->ended = true;
+}
+
 /* Kills the node's process; its clients lose their connections and resubmit. */
 static void node_kill(struct cluster_sim *sim, int index)
 {
@@ -195,8 +207,10 @@
 			job->query_pending = false;
 			sim_schedule(sim, QUERY_INTERVAL_MS, client_query, job);
 		}
-		if (job->state == CLIENT_WAITING && job->host_index == index)
+		if (job->state == CLIENT_WAITING && job->host_index == index) {
+			end_submission(job);
 			client_schedule_resubmit(job);
+		}
 	}
 	waxwing_node_destroy(host->node);
 	host->node = NULL;
@@ -242,10 +256,12 @@
 static void client_answered(struct waxwing_job_waiter *waiter,
 			    const struct waxwing_node_answer *answer)
 {
-	struct client_job *job = (struct client_job *)waiter;
+	struct client_submission *submission = (struct client_submission *)waiter;
+	struct client_job *job = submission->job;
 
-	if (job->state != CLIENT_WAITING)
+	if (submission->ended || job->state != CLIENT_WAITING)
 		return;
+	submission->ended = true;
 	if (answer->outcome == WAXWING_JOB_STORED) {
 		job->state = CLIENT_STORED;
 		sim_schedule(job->sim, QUERY_INTERVAL_MS, client_query, job);
@@ -258,7 +274,7 @@
 	} else if (answer->may_have_run) {
 		client_schedule_resubmit(job);
 	} else {
-		job->state = job->submissions == 1 ? CLIENT_REFUSED : CLIENT_ABANDONED;
+		job->state = job->submissions->len == 1 ? CLIENT_REFUSED : CLIENT_ABANDONED;
 		if (job->state == CLIENT_REFUSED && job->started)
 			sim_report_violation(job->sim, "REFUSED", job->id, 0);
 	}
@@ -281,7 +297,7 @@
 	made.max_attempts = 3;
 	made.stretch_milli = 1600;
 	made.allowance_ms = 60;
-	made.patience_ms = 6000;
+	made.patience_ms = job->sim ? job->sim->client_patience_ms : CLIENT_PATIENCE_MS;
 	made.has_kept = true;
 	made.kept = job->durable;
 	made.has_permits_needed = made.has_permit_base_ms = made.has_permit_each_ms = true;
@@ -301,8 +317,44 @@
 	return waxwing__job__unpack(NULL, len, packed);
 }
 
+/* The node learns that the client has closed its connection. */
+static void client_connection_closed(struct cluster_sim *sim, void *data)
+{
+	struct client_submission *submission = data;
+	struct sim_host *host =
+		find_live_host(sim, submission->host_index, submission->incarnation);
+
+	if (!host || defer_if_frozen(host, client_connection_closed, submission))
+		return;
+	waxwing_node_withdraw(host->node, &submission->waiter);
+	waxwing_node_process_events(host->node);
+}
+
+/* The client closes its connection after it has waited too long, and submits the job again. */
+static void client_timed_out(struct cluster_sim *sim, void *data)
+{
+	struct client_submission *submission = data;
+
+	if (submission->ended)
+		return;
+	submission->ended = true;
+	if (submission->job->state == CLIENT_WAITING)
+		client_schedule_resubmit(submission->job);
+	client_connection_closed(sim, submission);
+}
+
+static void client_free(gpointer value)
+{
+	struct client_job *job = value;
+
+	g_ptr_array_free(job->submissions, TRUE);
+	g_free(job);
+}
+
 static void client_submit(struct cluster_sim *sim, struct client_job *job)
 {
+	struct client_submission *submission;
+
 	for (int try = 0; try < 4 * NODES; try++) {
 		int index = g_rand_int_range(sim->random, 0, NODES);
 		struct sim_host *host = &sim->hosts[index];
@@ -311,9 +363,16 @@
 		    sim->zone_avoided[host->zone])
 			continue;
 		job->host_index = index;
-		job->submissions++;
+		submission = g_new0(struct client_submission, 1);
+		submission->waiter.answer = client_answered;
+		submission->job = job;
+		submission->host_index = index;
+		submission->incarnation = host->incarnation;
+		g_ptr_array_add(job->submissions, submission);
 		job->submitted_ms = sim_now(sim);
-		waxwing_node_submit(host->node, make_job(job), &job->waiter);
+		waxwing_node_submit(host->node, make_job(job), &submission->waiter);
+		sim_schedule(sim, sim->client_patience_ms + 2 * NETWORK_DELAY_MS, client_timed_out,
+			     submission);
 		waxwing_node_process_events(host->node);
 		return;
 	}
@@ -367,7 +426,7 @@
 
 	job->sim = sim;
 	job->id = ++sim->next_job;
-	job->waiter.answer = client_answered;
+	job->submissions = g_ptr_array_new_with_free_func(g_free);
 	job->tasks = (uint32_t)g_rand_int_range(sim->random, 1, MAX_CLIENT_TASKS + 1);
 	job->work_ms = (uint32_t)g_rand_int_range(sim->random, 20, (int32_t)sim->max_work_ms);
 	job->durable = sim_chance(sim, sim->durable_share);
--- a/test/node_sim_store.h
+++ b/test/node_sim_store.h
@@ -93,7 +93,7 @@
 	call->answer.status = lost ? WAXWING_STORE_UNKNOWN : status;
 	if (lost)
 		clear_items(call);
-	sim_schedule(sim, lost ? STORE_CALL_TIMEOUT_MS : STORE_DELAY_MS, store_deliver_answer,
+	sim_schedule(sim, lost ? STORE_CALL_TIMEOUT_MS : sim->store_delay_ms, store_deliver_answer,
 		     call);
 }
 
@@ -410,7 +410,7 @@
 	call->kind = kind;
 	call->reply = reply;
 	call->items = g_array_new(FALSE, FALSE, sizeof(struct waxwing_store_item));
-	sim_schedule(host->sim, STORE_DELAY_MS, store_call_arrived, call);
+	sim_schedule(host->sim, host->sim->store_delay_ms, store_call_arrived, call);
 	return call;
 }
 
--- a/test/node_sim_types.h
+++ b/test/node_sim_types.h
@@ -20,9 +20,11 @@
 #define MAX_LEASE_MS	      1000
 #define STOP_MS		      50
 #define RESUBMIT_DELAY_MS     1300
-#define QUERY_INTERVAL_MS     300
-#define MAX_WORK_MS	      400
-#define MAX_CLIENT_TASKS      4
+/* How long a client waits for a job's answer, unless a test sets another time. */
+#define CLIENT_PATIENCE_MS 6000
+#define QUERY_INTERVAL_MS  300
+#define MAX_WORK_MS	   400
+#define MAX_CLIENT_TASKS   4
 /* Number of occurrences of a repeated job, and the interval between them. */
 #define REPETITIONS	       3
 #define OCCURRENCE_INTERVAL_MS 300
@@ -117,6 +119,8 @@
 	int64_t started_ms;
 	bool powered_off; /* neither runs tasks nor answers */
 	bool isolated; /* unreachable from all nodes; continues to run tasks */
+	bool isolated_from[NODES]; /* unreachable from this node */
+	bool loses_answers; /* orders take effect, but no answer arrives */
 	double speed;
 	GPtrArray *pending_holds; /* struct executor_call waiting for a run to end */
 };
@@ -129,9 +133,18 @@
 	CLIENT_ABANDONED,
 };
 
-struct client_job {
+/* One submission of a client's job. */
+struct client_submission {
 	struct waxwing_job_waiter waiter; /* must be the first member */
+	struct client_job *job;
+	int host_index;
+	uint64_t incarnation; /* of the node process that serves the client */
+	bool ended; /* answered, or the client has closed its connection */
+};
+
+struct client_job {
 	struct waxwing_job_query query;
+	GPtrArray *submissions; /* struct client_submission; the last is the current one */
 	struct cluster_sim *sim;
 	uint64_t id;
 	bool durable;
@@ -144,10 +157,8 @@
 	int64_t first_ms; /* due time of the first occurrence, on the simulation's clock */
 	enum client_state state;
 	int host_index;
-	uint64_t incarnation; /* of the node process that serves the client */
 	uint32_t tasks;
 	uint32_t work_ms;
-	uint32_t submissions;
 	bool started;
 	bool resubmit_scheduled;
 	uint32_t completed_tasks;
@@ -194,6 +205,15 @@
 	uint32_t max_work_ms; /* longest run time of a task */
 	/* share of orders that are not answered and arrive seconds later */
 	double late_order_share;
+	/*
+	 * share of orders that arrive late, but before the lease that they grant has expired, and
+	 * are not answered in time
+	 */
+	double delayed_order_share;
+	double lost_answer_share; /* share of orders that take effect without an answer */
+	double lost_message_share; /* share of messages between nodes that are lost */
+	int64_t store_delay_ms; /* one-way delay of the store's calls */
+	uint32_t client_patience_ms;
 	bool zone_isolated[ZONES]; /* isolated from the other failure domains and the store */
 	bool zone_avoided[ZONES]; /* clients do not use this domain's nodes */
 	struct sim_host hosts[NODES];
--- a/test/test_node_change.c
+++ b/test/test_node_change.c
@@ -136,6 +136,33 @@
 	sim_destroy(sim);
 }
 
+/*
+ * An owner that had been paused finds that it was replaced. What it tells its issuers then is not
+ * about its successor, which they go on using.
+ */
+static void test_former_owner_wakes(void)
+{
+	for (uint32_t seed = 1; seed <= 10; seed++) {
+		struct cluster_sim *sim = create_settled_sim(seed);
+		int former = find_owner(sim, 0);
+
+		submit_jobs(sim, 500);
+		sim->hosts[former].frozen_until_ms = sim_now(sim) + 3000;
+		submit_jobs(sim, 2900);
+		g_assert_cmpint(find_owner(sim, 0), !=, former);
+		for (int ms = 0; ms < 300; ms++) {
+			for (int i = 0; i < NODES; i++)
+				if (i != former)
+					g_assert_cmpuint(
+						waxwing_node_reachable_cells(sim->hosts[i].node),
+						==, ZONES);
+			sim_run(sim, 1);
+		}
+		assert_all_answered(sim);
+		sim_destroy(sim);
+	}
+}
+
 struct leave_wait {
 	struct waxwing_job_waiter waiter; /* must be the first member */
 	struct waxwing_node_answer answer;
@@ -268,6 +295,7 @@
 	g_test_add_func("/node_change/domain_restarts", test_domain_restarts);
 	g_test_add_func("/node_change/hand_back_needs_store", test_hand_back_needs_store);
 	g_test_add_func("/node_change/isolated_without_owner", test_isolated_without_owner);
+	g_test_add_func("/node_change/former_owner_wakes", test_former_owner_wakes);
 	g_test_add_func("/node_change/release_unanswered", test_release_unanswered);
 	return g_test_run();
 }
--- a/test/test_node_faults.c
+++ b/test/test_node_faults.c
@@ -2,11 +2,10 @@
  * Fault tests of complete nodes in virtual time: answers sent to callers must remain correct under
  * every kind of fault.
  */
-#include "node_sim_helpers.h"
+#include "node_sim_faults.h"
 
 #define RANDOM_FAULT_SEEDS 40
 #define RANDOM_FAULTS_MS   20000
-#define FAULT_DURATION_MS  700
 #define LONG_TASK_MS	   4000
 #define LONG_ARRIVALS_MS   400
 /*
@@ -335,78 +334,6 @@
 	sim_destroy(sim);
 }
 
-static void inject_random_fault(struct cluster_sim *sim)
-{
-	int node = g_rand_int_range(sim->random, 0, NODES);
-	int executor = g_rand_int_range(sim->random, 0, EXECUTORS);
-	int zone = g_rand_int_range(sim->random, 0, ZONES);
-
-	switch (g_rand_int_range(sim->random, 0, 10)) {
-	case 0:
-		node_kill(sim, node);
-		break;
-	case 1:
-		if (sim->hosts[node].node && !sim->hosts[node].frozen_until_ms)
-			sim->hosts[node].frozen_until_ms =
-				sim_now(sim) + g_rand_int_range(sim->random, 100, 4000);
-		break;
-	case 2:
-		sim->hosts[node].store_unreachable = true;
-		break;
-	case 3:
-		sim->zone_isolated[zone] = true;
-		break;
-	case 4:
-		store_fail(sim, FAULT_DURATION_MS);
-		break;
-	case 5:
-		sim->store_unanswered_share = 0.4;
-		break;
-	case 6:
-		sim->late_order_share = 0.05;
-		break;
-	case 7:
-		sim->executors[executor].isolated = true;
-		break;
-	case 8:
-		restart_executor(sim, &sim->executors[executor]);
-		put_executor_entry(sim, &sim->executors[executor]);
-		break;
-	case 9:
-		/* The owner's entry is removed although no node has requested the removal. */
-		if (find_owner(sim, zone) >= 0) {
-			char key[16];
-
-			snprintf(key, sizeof(key), "cells/%s", zone_names[zone]);
-			store_remove(sim, key);
-		}
-		break;
-	}
-}
-
-static void repair_faults(struct cluster_sim *sim, double share)
-{
-	for (int i = 0; i < NODES; i++) {
-		struct sim_host *host = &sim->hosts[i];
-
-		if (!host->node && sim_chance(sim, share))
-			node_start(sim, i);
-		if (sim_chance(sim, share))
-			host->store_unreachable = false;
-	}
-	for (int i = 0; i < EXECUTORS; i++)
-		if (sim_chance(sim, share))
-			sim->executors[i].isolated = false;
-	for (int i = 0; i < ZONES; i++)
-		if (sim_chance(sim, share))
-			sim->zone_isolated[i] = false;
-	sim->store_down = false;
-	if (sim_chance(sim, share))
-		sim->store_unanswered_share = 0;
-	if (sim_chance(sim, share))
-		sim->late_order_share = 0;
-}
-
 static void test_durable_no_faults(void)
 {
 	struct cluster_sim *sim = create_settled_sim(1);
@@ -646,13 +573,6 @@
 	sim_destroy(sim);
 }
 
-static uint32_t seed_from_env(const char *variable, uint32_t default_seed)
-{
-	const char *text = g_getenv(variable);
-
-	return text ? (uint32_t)atoi(text) : default_seed;
-}
-
 /*
  * Each occurrence starts within MAX_START_DELAY_MS of its due time, even after clocks have jumped.
  */
@@ -717,6 +637,18 @@
 			      void (*prepare)(struct cluster_sim *sim, uint32_t seed),
 			      bool clock_jumps)
 {
+	static const enum sim_fault kinds[] = {
+		FAULT_KILL,
+		FAULT_FREEZE,
+		FAULT_STORE_UNREACHABLE,
+		FAULT_ZONE_ISOLATED,
+		FAULT_STORE_DOWN,
+		FAULT_STORE_UNANSWERED,
+		FAULT_LATE_ORDERS,
+		FAULT_EXECUTOR_ISOLATED,
+		FAULT_EXECUTOR_RESTART,
+		FAULT_OWNER_REMOVED,
+	};
 	uint32_t first = seed_from_env("WAXWING_TEST_FIRST", 1);
 	uint32_t last = seed_from_env("WAXWING_TEST_LAST", seeds);
 
@@ -734,7 +666,7 @@
 				host_set_day_offset(sim, host,
 						    g_rand_int_range(sim->random, -2000, 2000));
 			}
-			inject_random_fault(sim);
+			inject_random_fault(sim, kinds, G_N_ELEMENTS(kinds));
 			submit_jobs(sim, FAULT_DURATION_MS);
 			repair_faults(sim, 0.35);
 			if (host)
