src/node: an owner that was replaced does not speak for its successor

Callers saw: a job that they submitted again after an owner had been paused ran twice at the same time, and for up to 100 ms their nodes did not use its cell. Cause: an owner that wakes and learns of its successor tells its issuers that its cell is released. The message's fencing token was read from the claim, which names the successor by then. Now an owner's messages carry the token of the ownership that it holds or held.

--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -146,13 +146,13 @@
 	executors->ops->hold(executors, &hold);
 }
 
-/* Returns a message with the header of the current ownership and no content. */
+/* Returns a message with the header of this node's ownership and no content. */
 static Waxwing__NodeMessage begin_message(const struct node_cell *cell)
 {
 	Waxwing__NodeMessage message = WAXWING__NODE_MESSAGE__INIT;
 
 	message.cell = cell->name;
-	message.fencing_token = waxwing_cell_claim_owner(cell->claim)->fencing_token;
+	message.fencing_token = cell->held_token;
 	return message;
 }
 
@@ -375,6 +375,7 @@
 		.status_ms = node->options.state_retention_ms,
 	};
 
+	cell->held_token = token;
 	if (cell->owned) {
 		waxwing_cell_set_token(cell->owned, token);
 		waxwing_journal_set_token(cell->journal, token);
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -46,6 +46,7 @@
 	struct waxwing_journal *journal; /* null: this node is not the owner */
 	char *owner_key;
 	int64_t no_local_ms; /* when the cell's own domain last had no node that could own it */
+	uint64_t held_token; /* fencing token of this node's ownership */
 	uint64_t ownership_id; /* distinguishes answers to orders of an earlier ownership */
 	GHashTable *issuers; /* sender -> struct issuer */
 	bool list_confirmed; /* the list of executors is known to be complete */
