src/node: a withdrawal is sent until the owner confirms it

Callers saw: a job whose answer they had waited for in vain, and that they submitted again 1.3 s later, ran in two cells at the same time. Cause: a node tells the cell's owner once that a caller has gone, and nothing at all if the owner seems unreachable at that moment (its token has just changed, or the node was paused). If that message is lost the owner, which goes on hearing the node, runs the job to its end. The log has caller_gone without job_withdrawn. A job that is submitted again at the same node goes to that owner first. An owner ignores the withdrawal of an issuer that another one has replaced, since it may be late now.

--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -298,8 +298,12 @@
 void waxwing_cell_query_state(struct waxwing_cell *cell, int64_t now_ms, uint64_t asker,
 			      const Waxwing__JobAsk *ask);
 
-/** Stops a job whose caller no longer waits. Durable jobs are not affected. */
-void waxwing_cell_withdraw(struct waxwing_cell *cell, int64_t now_ms, uint64_t job);
+/**
+ * Stops a job whose caller no longer waits. Has no effect on durable jobs, and none if another
+ * issuer has offered the job since: its caller waits.
+ */
+void waxwing_cell_withdraw(struct waxwing_cell *cell, int64_t now_ms, uint64_t issuer,
+			   uint64_t job);
 
 /** Stops all jobs, except durable ones, of an issuer that is unreachable or has left. */
 void waxwing_cell_stop_issuer_jobs(struct waxwing_cell *cell, int64_t now_ms, uint64_t issuer);
--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -744,11 +744,11 @@
 	}
 }
 
-void waxwing_cell_withdraw(struct waxwing_cell *cell, int64_t now_ms, uint64_t id)
+void waxwing_cell_withdraw(struct waxwing_cell *cell, int64_t now_ms, uint64_t issuer, uint64_t id)
 {
 	struct cell_job *job = cell_find_job(cell, id);
 
-	if (!job || job->ended || job->durable)
+	if (!job || job->ended || job->durable || job->issuer != issuer)
 		return;
 	waxwing_event("job_withdrawn", "job=%016llx out=%u undone=%u", (unsigned long long)id,
 		      job->assigned_tasks, job->remaining);
@@ -769,7 +769,7 @@
 		/* if offered again, the job must not get a verdict that says that nothing ran */
 		if (job->started)
 			cache_verdict(cell, issuer, now_ms, &verdict);
-		waxwing_cell_withdraw(cell, now_ms, job->id);
+		waxwing_cell_withdraw(cell, now_ms, issuer, job->id);
 	}
 	g_list_free(jobs);
 }
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -120,6 +120,7 @@
 	node_routing_run(node, now_ms);
 	node_cells_run(node, now_ms);
 	node_jobs_run(node, now_ms);
+	node_withdrawals_run(node, now_ms);
 	node_queries_run(node, now_ms);
 	waxwing_node_process_events(node);
 }
@@ -136,6 +137,7 @@
 	node->cells = g_ptr_array_new();
 	node->queries = g_ptr_array_new_with_free_func(g_free);
 	node_entries_create(node);
+	node_withdrawals_create(node);
 	node->routing_waiters = g_ptr_array_new();
 	node->query_answers = g_ptr_array_new_with_free_func(g_free);
 	node->verdicts = g_ptr_array_new_with_free_func(g_free);
@@ -163,6 +165,7 @@
 	waxwing_routing_destroy(node->routing);
 	g_ptr_array_free(node->routing_waiters, TRUE);
 	g_hash_table_destroy(node->pending_jobs);
+	node_withdrawals_destroy(node);
 	g_ptr_array_free(node->verdicts, TRUE);
 	g_ptr_array_free(node->queries, TRUE);
 	g_ptr_array_free(node->query_answers, TRUE);
@@ -215,8 +218,8 @@
 
 bool waxwing_node_idle(const struct waxwing_node *node)
 {
-	if (g_hash_table_size(node->pending_jobs) || node->queries->len ||
-	    node->routing_waiters->len)
+	if (g_hash_table_size(node->pending_jobs) || g_hash_table_size(node->withdrawals) ||
+	    node->queries->len || node->routing_waiters->len)
 		return false;
 	for (guint i = 0; i < node->cells->len; i++)
 		if (waxwing_cell_claim_is_releasing(
@@ -273,6 +276,7 @@
 		"waxwing_node_not_completed_total %llu\n"
 		"waxwing_node_pending %u\n"
 		"waxwing_node_takeovers_total %llu\n"
+		"waxwing_node_withdrawals_unconfirmed_total %llu\n"
 		"waxwing_node_messages_dropped_total %llu\n"
 		"waxwing_node_log_lines_dropped_total %llu\n"
 		"waxwing_node_routing_version %llu\n"
@@ -281,6 +285,7 @@
 		(unsigned long long)node->submitted, (unsigned long long)node->completed,
 		(unsigned long long)node->not_completed, g_hash_table_size(node->pending_jobs),
 		(unsigned long long)node->takeovers,
+		(unsigned long long)node->withdrawals_unconfirmed,
 		(unsigned long long)node->link->ops->dropped(node->link),
 		(unsigned long long)waxwing_event_log_dropped(),
 		(unsigned long long)(node->routing ? node->routing->version : 0),
--- a/src/node/node_cells.c
+++ b/src/node/node_cells.c
@@ -298,6 +298,8 @@
 		handle_owner_news(cell->node, message->pong->owners[i]);
 	if (message->has_accepted)
 		node_jobs_set_accepted(cell, message->accepted);
+	if (message->has_withdrawn)
+		node_withdrawals_remove(cell, message->withdrawn);
 	if (message->told)
 		node_queries_add_answer(cell, message->told);
 	if (message->verdict && verdict_is_valid(cell, message->verdict))
--- a/src/node/node_jobs.c
+++ b/src/node/node_jobs.c
@@ -124,6 +124,7 @@
 
 	pending->offered_token = waxwing_cell_claim_owner(cell->claim)->fencing_token;
 	pending->offered_ms = now_ms;
+	node_withdrawals_remove(cell, pending->id);
 	job_offer.job = pending->job;
 	job_offer.age_ms = (uint32_t)(now_ms - pending->arrived_ms);
 	/* A durable job was not started if the journal does not contain it. */
@@ -148,20 +149,15 @@
 static void withdraw_job(struct pending_job *pending)
 {
 	struct node_cell *cell = pending->cell;
-	Waxwing__NodeMessage message = WAXWING__NODE_MESSAGE__INIT;
 
 	if (!cell || pending->job->kept)
 		return;
-	if (cell->owned) {
-		waxwing_cell_withdraw(cell->owned, node_now(cell->node), pending->id);
-		cell->node->has_events = true;
+	if (!cell->owned) {
+		node_withdrawals_add(cell, pending->id);
 		return;
 	}
-	if (!node_cell_reachable(cell, node_now(cell->node)))
-		return;
-	message.has_withdraw = true;
-	message.withdraw = pending->id;
-	node_send(cell, &message);
+	waxwing_cell_withdraw(cell->owned, node_now(cell->node), WAXWING_ISSUER_SELF, pending->id);
+	cell->node->has_events = true;
 }
 
 static void answer_job(struct waxwing_node *node, struct pending_job *pending,
@@ -198,7 +194,9 @@
 static void offer_to_best_cell(struct waxwing_node *node, struct pending_job *pending,
 			       int64_t now_ms)
 {
-	pending->cell = choose_cell(node, pending->job, 0, now_ms);
+	pending->cell = node_withdrawals_find(node, pending->id, now_ms);
+	if (!pending->cell)
+		pending->cell = choose_cell(node, pending->job, 0, now_ms);
 	if (!pending->cell)
 		return;
 	pending->accepted = false;
--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -683,8 +683,12 @@
 	issuer = update_issuer(cell, sender, message, node_now(cell->node));
 	if (message->ping)
 		answer_ping(cell, issuer, message->ping);
-	if (message->has_withdraw)
-		waxwing_cell_withdraw(cell->owned, node_now(cell->node), message->withdraw);
+	if (message->has_withdraw) {
+		waxwing_cell_withdraw(cell->owned, node_now(cell->node), sender, message->withdraw);
+		answer.has_withdrawn = true;
+		answer.withdrawn = message->withdraw;
+		send_answer(cell, sender, &answer);
+	}
 	if (message->ask)
 		waxwing_cell_query_state(cell->owned, node_now(cell->node), sender, message->ask);
 	if (message->offer && offer_is_valid(cell, message->offer))
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -94,6 +94,7 @@
 	GPtrArray *cells; /* struct node_cell */
 	GHashTable *pending_jobs; /* id -> struct pending_job */
 	GPtrArray *routing_waiters; /* struct waxwing_routing_waiter */
+	GHashTable *withdrawals; /* job id -> struct withdrawal */
 	GPtrArray *queries; /* struct pending_query */
 	GPtrArray *query_answers; /* struct query_answer, processed after the cells have run */
 	/* key -> struct waxwing_store_item, passed to newly owned cells; see node_entries.c */
@@ -119,6 +120,7 @@
 	uint64_t completed;
 	uint64_t not_completed;
 	uint64_t takeovers;
+	uint64_t withdrawals_unconfirmed;
 };
 
 /* node_cells.c */
@@ -150,6 +152,14 @@
 bool node_entries_is_standby(const struct node_cell *cell, const struct issuer *issuer);
 void node_entries_changed(void *data, const struct waxwing_store_item *item);
 
+/* node_withdrawals.c */
+void node_withdrawals_create(struct waxwing_node *node);
+void node_withdrawals_destroy(struct waxwing_node *node);
+void node_withdrawals_add(struct node_cell *cell, uint64_t job);
+void node_withdrawals_remove(struct node_cell *cell, uint64_t job);
+struct node_cell *node_withdrawals_find(struct waxwing_node *node, uint64_t job, int64_t now_ms);
+void node_withdrawals_run(struct waxwing_node *node, int64_t now_ms);
+
 /* node_jobs.c */
 void node_jobs_run(struct waxwing_node *node, int64_t now_ms);
 void node_jobs_add_verdict(struct node_cell *cell, const Waxwing__JobVerdict *verdict);
--- a/test/test_cell.c
+++ b/test/test_cell.c
@@ -378,7 +378,7 @@
 	advance(&fixture, 10);
 	first = start_at(&fixture, 0);
 	if (caller_leaves) {
-		waxwing_cell_withdraw(fixture.cell, fixture.now_ms, 1);
+		waxwing_cell_withdraw(fixture.cell, fixture.now_ms, WAXWING_ISSUER_SELF, 1);
 		offer(&fixture, 2, 1, 6000, 1000, false);
 	} else {
 		ready_executor(&fixture, "b", 8000);
@@ -403,6 +403,27 @@
 	tear_down(&fixture);
 }
 
+/*
+ * A job that another issuer has offered since has a caller that waits: the first issuer's
+ * withdrawal, which may arrive late, has no effect.
+ */
+static void test_withdrawn_by_former_issuer(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture, false);
+	ready_executor(&fixture, "a", 8000);
+	offer(&fixture, 1, 1, 6000, 1000, false);
+	advance(&fixture, 10);
+	waxwing_cell_offer(fixture.cell, fixture.now_ms, 5,
+			   make_offer(1, 1, 6000, 1000, false, false));
+	waxwing_cell_withdraw(fixture.cell, fixture.now_ms, WAXWING_ISSUER_SELF, 1);
+	g_assert_cmpuint(fixture.recorder.stops->len, ==, 0);
+	waxwing_cell_withdraw(fixture.cell, fixture.now_ms, 5, 1);
+	g_assert_cmpuint(fixture.recorder.stops->len, ==, 1);
+	tear_down(&fixture);
+}
+
 static void test_delayed_start_of_task(void)
 {
 	test_start_delayed(false);
@@ -516,6 +537,7 @@
 	g_test_add_func("/cell/no_usable_executor", test_no_usable_executor);
 	g_test_add_func("/cell/start_delayed/task", test_delayed_start_of_task);
 	g_test_add_func("/cell/start_delayed/left_job", test_delayed_start_of_left_job);
+	g_test_add_func("/cell/withdrawn_by_former_issuer", test_withdrawn_by_former_issuer);
 	g_test_add_func("/cell/new_life", test_new_incarnation);
 	g_test_add_func("/cell/refuses_hopeless", test_refuses_late_job);
 	g_test_add_func("/cell/never_fits", test_never_fits);
--- a/test/test_cell_permit.c
+++ b/test/test_cell_permit.c
@@ -178,7 +178,7 @@
 	set_up(&fixture, false);
 	ready_executor(&fixture, "a", 16000);
 	offer_transient_job(&fixture, 1, 1);
-	waxwing_cell_withdraw(fixture.cell, fixture.now_ms, 1);
+	waxwing_cell_withdraw(fixture.cell, fixture.now_ms, WAXWING_ISSUER_SELF, 1);
 	answer_permit_query(&fixture, "a", "t1");
 	advance(&fixture, 100);
 	g_assert_cmpuint(fixture.recorder.starts->len, ==, 0);
