src/cell: a lease does not outlast what the owner waits for, with a slow clock

Callers saw: a task started again while its former run went on for some 80 ms. Cause: the owner estimates an executor's clock from its last answer, at full rate. An idle executor with a clock that runs 2% slow is asked nothing, so after 4 s the estimate is 80 ms ahead, and so is the lease's end in the next order. An order that arrives at once is shortened to the longest lease; one that arrives late is granted in full, and outlasts the time after which the owner takes the lease to be over. Now the estimate runs at the lowest rate, so it is never ahead, and the clock of an idle executor is read every 5 s, so that leases are at most a tenth shorter.

--- a/src/cell/cell_executor.c
+++ b/src/cell/cell_executor.c
@@ -49,10 +49,16 @@
 	};
 }
 
+/*
+ * The executor's clock is estimated at its lowest rate, so that the estimate is never ahead of it:
+ * the order may arrive late, and the executor then grants all that it asks for.
+ */
 int64_t executor_lease_expiry_ms(const struct waxwing_cell *cell, const struct executor *executor,
 				 int64_t now_ms)
 {
-	return executor->clock_ms + (now_ms - executor->clock_read_ms) + cell->options.max_lease_ms;
+	int64_t passed_ms = (int64_t)((double)(now_ms - executor->clock_read_ms) * MIN_CLOCK_RATE);
+
+	return executor->clock_ms + passed_ms + cell->options.max_lease_ms;
 }
 
 void executor_note_lease(const struct waxwing_cell *cell, struct executor *executor, int64_t now_ms)
@@ -62,8 +68,7 @@
 
 /*
  * Records the clock that an executor reported, from which its later time is estimated. The estimate
- * lags by the answer's transit time, unless the executor's clock runs slow. If a requested lease
- * exceeds the maximum, the executor shortens it.
+ * lags by the answer's transit time.
  */
 void executor_set_clock(struct executor *executor, int64_t now_ms, int64_t clock_ms)
 {
--- a/src/cell/cell_hold.c
+++ b/src/cell/cell_hold.c
@@ -19,6 +19,11 @@
  * not received.
  */
 #define MAX_ACK_DELAY_MS 30
+/*
+ * Age at which the clock of an idle executor is read again. Leases are shorter by up to 2% of that
+ * age, see executor_lease_expiry_ms().
+ */
+#define CLOCK_REFRESH_MS 5000
 /* Weight in the circuit breaker of an unanswered hold, relative to a failed task. */
 #define NO_ANSWER_WEIGHT 1.0
 
@@ -28,6 +33,8 @@
 		return false;
 	if (executor->hold_requested || executor->runs->len || executor->unresponsive)
 		return true;
+	if (!executor->removed && now_ms - executor->hold_sent_ms >= CLOCK_REFRESH_MS)
+		return true;
 	return executor->processed_upto > executor->acked_upto;
 }
 
--- a/test/cell_fixture.h
+++ b/test/cell_fixture.h
@@ -11,6 +11,8 @@
 
 #define MAX_LEASE_MS 1000
 #define STOP_MS	     50
+/* Clock of the executors, minus the owner's. */
+#define CLOCK_OFFSET_MS 500000
 
 struct recorder {
 	GArray *starts; /* struct start */
@@ -34,6 +36,7 @@
 struct start {
 	struct waxwing_run_id run_id;
 	uint64_t handle;
+	int64_t lease_expiry_ms;
 	char executor[16];
 	char checkpoint[16];
 	char ticket[16];
@@ -50,7 +53,7 @@
 			 const struct waxwing_run_order *order)
 {
 	struct recorder *recorder = data;
-	struct start start = { order->run_id, target->handle, "", "", "" };
+	struct start start = { order->run_id, target->handle, order->lease_expiry_ms, "", "", "" };
 
 	if (order->checkpoint)
 		g_strlcpy(start.checkpoint, order->checkpoint, sizeof(start.checkpoint));
@@ -221,7 +224,7 @@
 {
 	struct waxwing_hold_answer answer = {
 		.result = WAXWING_HOLD_ANSWERED,
-		.clock_ms = 500000 + fixture->now_ms,
+		.clock_ms = CLOCK_OFFSET_MS + fixture->now_ms,
 		.started_ms = fixture->started_ms,
 		.running = running,
 		.running_count = running_count,
--- a/test/test_cell.c
+++ b/test/test_cell.c
@@ -424,6 +424,51 @@
 	tear_down(&fixture);
 }
 
+/*
+ * Guards against two runs of one task: the executor's clock ran 2% slow and was last read long ago,
+ * so a start order that arrived late was granted a lease that lasted longer than the owner waited.
+ */
+static void test_lease_of_slow_clock(void)
+{
+	struct fixture fixture;
+	int64_t idle_ms = 4500;
+	int64_t clock_ms;
+	int64_t read_ms;
+
+	set_up(&fixture, false);
+	ready_executor(&fixture, "a", 8000);
+	read_ms = fixture.now_ms;
+	advance(&fixture, idle_ms);
+	offer(&fixture, 1, 1, 6000, 1000, false);
+	advance(&fixture, 10);
+	clock_ms = CLOCK_OFFSET_MS + read_ms + (int64_t)(0.98 * (double)(fixture.now_ms - read_ms));
+	g_assert_cmpint(start_at(&fixture, 0)->lease_expiry_ms, <=, clock_ms + MAX_LEASE_MS);
+	g_assert_cmpint(start_at(&fixture, 0)->lease_expiry_ms, >, clock_ms + MAX_LEASE_MS - 100);
+	tear_down(&fixture);
+}
+
+/* The clocks of idle executors are read from time to time, so that leases keep their length. */
+static void test_idle_clock_refresh(void)
+{
+	struct fixture fixture;
+	uint64_t handle;
+
+	set_up(&fixture, false);
+	handle = ready_executor(&fixture, "a", 8000);
+	for (int i = 0; i < 20; i++) {
+		uint32_t holds = fixture.recorder.holds;
+
+		advance(&fixture, 6000);
+		g_assert_cmpuint(fixture.recorder.holds, ==, holds + 1);
+		answer_hold(&fixture, handle, NULL, 0, NULL, 0);
+	}
+	offer(&fixture, 1, 1, 6000, 1000, false);
+	advance(&fixture, 10);
+	g_assert_cmpint(start_at(&fixture, 0)->lease_expiry_ms, >,
+			CLOCK_OFFSET_MS + fixture.now_ms + MAX_LEASE_MS - 100);
+	tear_down(&fixture);
+}
+
 static void test_delayed_start_of_task(void)
 {
 	test_start_delayed(false);
@@ -538,6 +583,8 @@
 	g_test_add_func("/cell/start_delayed/task", test_delayed_start_of_task);
 	g_test_add_func("/cell/start_delayed/left_job", test_delayed_start_of_left_job);
 	g_test_add_func("/cell/withdrawn_by_former_issuer", test_withdrawn_by_former_issuer);
+	g_test_add_func("/cell/lease_of_slow_clock", test_lease_of_slow_clock);
+	g_test_add_func("/cell/idle_clock_refresh", test_idle_clock_refresh);
 	g_test_add_func("/cell/new_life", test_new_incarnation);
 	g_test_add_func("/cell/refuses_hopeless", test_refuses_late_job);
 	g_test_add_func("/cell/never_fits", test_never_fits);
