src/cell: a job that has runs is not refused as not run

Callers saw: a job that they submitted again, after the node that served them was lost, ran in two cells at the same time. Cause: a successor adopts the runs that the former owner started when their job is offered. It then decided on the job's admission as if it were new: if not all tasks were running and there was no room, it told the issuer that nothing had run, and the issuer offered the job to another cell, while the adopted runs were being stopped. Now a job of which an executor lists a run is neither refused for load nor for want of a suitable executor. Test /cell/adopted_not_refused failed before.

--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -703,11 +703,28 @@
 	       offer->age_ms + OFFER_TRANSIT_MS >= VERDICT_CACHE_MS;
 }
 
+/* Returns true if an executor has a run of the job that a former owner started. */
+static bool has_unknown_runs(const struct waxwing_cell *cell, uint64_t id)
+{
+	for (guint i = 0; i < cell->executors->len; i++) {
+		const struct executor *executor = cell->executors->pdata[i];
+
+		for (guint k = 0; executor->unknown_runs && k < executor->runs->len; k++) {
+			const struct cell_run *run = executor->runs->pdata[k];
+
+			if (!run->job && run->first_seen_ms && run->id.job == id)
+				return true;
+		}
+	}
+	return false;
+}
+
 void waxwing_cell_offer(struct waxwing_cell *cell, int64_t now_ms, uint64_t issuer,
 			Waxwing__JobOffer *offer)
 {
 	const Waxwing__Job *spec = offer->job;
-	bool running_before = offer->running_before;
+	/* a job that has runs must not be refused: its issuer would offer it to another cell */
+	bool may_run = offer->running_before || has_unknown_runs(cell, spec->id);
 	struct cell_job *job;
 	uint32_t wait_ms;
 
@@ -721,7 +738,7 @@
 				 WAXWING_ERROR_OUTCOME_UNKNOWN, MIN_RETRY_AFTER_MS);
 		return;
 	}
-	for (size_t i = 0; i < spec->n_steps && !running_before; i++) {
+	for (size_t i = 0; i < spec->n_steps && !may_run; i++) {
 		if (!step_fits_somewhere(cell, spec, spec->steps[i]) ||
 		    (spec->permits_needed && !cell->options.permits_available)) {
 			job_reject_offer(cell, now_ms, issuer, offer, WAXWING_JOB_REFUSED,
@@ -732,7 +749,7 @@
 	job = job_create(cell, now_ms, issuer, offer);
 	if (!job->durable)
 		job_adopt_runs(cell, job);
-	if (!running_before && !job->long_running && !job->occurrences &&
+	if (!may_run && !job->long_running && !job->occurrences &&
 	    is_refused(cell, job, now_ms, &wait_ms)) {
 		job->durable = false; /* the job is not in the journal */
 		job_end(cell, job, now_ms, WAXWING_JOB_REFUSED, WAXWING_ERROR_OVERLOAD,
--- a/test/test_cell.c
+++ b/test/test_cell.c
@@ -110,6 +110,30 @@
 	tear_down(&fixture);
 }
 
+/*
+ * Guards against two runs of one task: a caller had submitted its job again after its node, the
+ * former owner, was lost. The successor adopted the job's run, but refused the job for load as not
+ * run, so that its issuer offered it to another cell.
+ */
+static void test_adopted_not_refused(void)
+{
+	struct fixture fixture;
+	struct waxwing_running_run running = { .run_id = { 9, 0, 0, 0, 1 } };
+
+	set_up(&fixture, true);
+	add_executor(&fixture, "a", 8000, 0);
+	waxwing_cell_advance(fixture.cell, fixture.now_ms);
+	answer_hold(&fixture, fixture.recorder.handle, &running, 1, NULL, 0);
+	advance(&fixture, 500); /* a new owner refuses no jobs for load at first */
+	next_age_ms = 4000; /* too late for a new job */
+	offer(&fixture, 8, 1, 6000, 100, false);
+	g_assert_cmpuint(verdict_at(&fixture, 0)->outcome, ==, WAXWING_JOB_REFUSED);
+	offer(&fixture, 9, 2, 6000, 100, false);
+	next_age_ms = 0;
+	g_assert_cmpuint(fixture.recorder.verdicts->len, ==, 1);
+	tear_down(&fixture);
+}
+
 /* Tasks on an executor that does not answer are not restarted until all its leases have expired. */
 static void test_unresponsive_executor(void)
 {
@@ -585,6 +609,7 @@
 	g_test_add_func("/cell/withdrawn_by_former_issuer", test_withdrawn_by_former_issuer);
 	g_test_add_func("/cell/lease_of_slow_clock", test_lease_of_slow_clock);
 	g_test_add_func("/cell/idle_clock_refresh", test_idle_clock_refresh);
+	g_test_add_func("/cell/adopted_not_refused", test_adopted_not_refused);
 	g_test_add_func("/cell/new_life", test_new_incarnation);
 	g_test_add_func("/cell/refuses_hopeless", test_refuses_late_job);
 	g_test_add_func("/cell/never_fits", test_never_fits);
