src/cell: leases end in time after their job's issuer or caller was lost

Callers saw: a job that they submitted again 1.3 s after they had lost their node ran in two cells at the same time. Cause: an owner extends leases to the full 1 s until it has not heard an issuer for 0.65 s. If the executor becomes unreachable just then, the runs go on until 1.7 s after the issuer was lost. A successor extended the leases of runs that nobody had offered to it, too, as their issuer was the former owner, and thus past the time at which they would have ended by themselves. Now the leases on an executor are extended to at most 1.25 s after the issuers of all its runs were heard last, or after a job there was withdrawn, and not at all while it lists a run of a job that nobody has offered. So what an issuer's callers had running is over 1.3 s after it was lost, and an issuer moves a job from a lost owner after 1.3 s, not 1.7 s. For durable jobs, whose ids are claimed, nothing changes.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -36,6 +36,7 @@
 	cell->queues = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_queue);
 	cell->finished = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	cell->verdicts = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	cell->issuers_heard = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 	return cell;
 }
 
@@ -65,6 +66,7 @@
 	g_hash_table_destroy(cell->queues);
 	g_hash_table_destroy(cell->verdicts);
 	g_hash_table_destroy(cell->finished);
+	g_hash_table_destroy(cell->issuers_heard);
 	g_free((char *)cell->options.name);
 	g_free(cell);
 }
@@ -79,6 +81,17 @@
 	cell->options.list_incomplete = false;
 }
 
+void waxwing_cell_issuer_heard(struct waxwing_cell *cell, uint64_t issuer, int64_t heard_ms)
+{
+	int64_t *known_ms = g_hash_table_lookup(cell->issuers_heard, &issuer);
+
+	if (known_ms)
+		*known_ms = MAX(*known_ms, heard_ms);
+	else
+		g_hash_table_insert(cell->issuers_heard, g_memdup2(&issuer, sizeof(issuer)),
+				    g_memdup2(&heard_ms, sizeof(heard_ms)));
+}
+
 void waxwing_cell_advance(struct waxwing_cell *cell, int64_t now_ms)
 {
 	if (now_ms - cell->last_scan_ms >= SCAN_INTERVAL_MS) {
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -129,8 +129,8 @@
 
 /**
  * Returns how long an issuer must have received nothing from an owner to be sure that all runs
- * which the owner started for the issuer's jobs have ended. The owner starts no runs and extends no
- * leases for an unreachable issuer, so the last lease has expired by then.
+ * which the owner started for the issuer's jobs have ended, except durable jobs. The leases that
+ * the owner grants depend on when it heard the issuer, so the last one has expired by then.
  */
 int64_t waxwing_cell_orders_expire_ms(uint32_t max_lease_ms);
 
@@ -305,6 +305,12 @@
 void waxwing_cell_withdraw(struct waxwing_cell *cell, int64_t now_ms, uint64_t issuer,
 			   uint64_t job);
 
+/**
+ * Called when a message of an issuer arrives. @heard_ms: when the owner sent the last message that
+ * the issuer had received by then. Leases for the issuer's jobs are limited by it.
+ */
+void waxwing_cell_issuer_heard(struct waxwing_cell *cell, uint64_t issuer, int64_t heard_ms);
+
 /** Stops all jobs, except durable ones, of an issuer that is unreachable or has left. */
 void waxwing_cell_stop_issuer_jobs(struct waxwing_cell *cell, int64_t now_ms, uint64_t issuer);
 
--- a/src/cell/cell_executor.c
+++ b/src/cell/cell_executor.c
@@ -4,6 +4,14 @@
 #include "event_log.h"
 #include "log.h"
 
+/*
+ * Leases are extended in full while the issuers of an executor's runs were heard within this time,
+ * and no further than that after it. Longer than the interval of an issuer's pings.
+ */
+#define FULL_LEASE_MS 250
+/* No task starts on an executor whose leases may only be extended by less than this. */
+#define MIN_START_LEASE_MS 300
+
 void executor_free(struct executor *executor)
 {
 	g_ptr_array_free(executor->runs, TRUE);
@@ -31,7 +39,8 @@
 	if (executor->draining || executor->removed || !executor->answered ||
 	    executor->unresponsive)
 		return false;
-	if (executor->unknown_runs || executor->backoff_until_ms > now_ms)
+	if (executor->unknown_runs || executor->backoff_until_ms > now_ms ||
+	    executor->lease_ms < MIN_START_LEASE_MS)
 		return false;
 	if (executor->breaker.state == WAXWING_BREAKER_HALF_OPEN)
 		return waxwing_breaker_may_probe(&executor->breaker);
@@ -49,21 +58,76 @@
 	};
 }
 
+static int64_t lease_expires_after_ms(uint32_t max_lease_ms)
+{
+	return (int64_t)(max_lease_ms / MIN_CLOCK_RATE) + REMOTE_TIME_MARGIN_MS;
+}
+
 /*
  * The executor's clock is estimated at its lowest rate, so that the estimate is never ahead of it:
  * the order may arrive late, and the executor then grants all that it asks for.
  */
-int64_t executor_lease_expiry_ms(const struct waxwing_cell *cell, const struct executor *executor,
-				 int64_t now_ms)
+static int64_t estimate_clock(const struct executor *executor, int64_t now_ms)
 {
 	int64_t passed_ms = (int64_t)((double)(now_ms - executor->clock_read_ms) * MIN_CLOCK_RATE);
 
-	return executor->clock_ms + passed_ms + cell->options.max_lease_ms;
+	return executor->clock_ms + passed_ms;
+}
+
+/*
+ * Returns since when a job's runs may no longer be wanted: its issuer may have been lost, or its
+ * caller has gone. The job may be submitted again soon after, and run in another cell.
+ */
+static int64_t last_wanted_ms(const struct waxwing_cell *cell, const struct cell_job *job,
+			      int64_t now_ms)
+{
+	const int64_t *heard_ms = g_hash_table_lookup(cell->issuers_heard, &job->issuer);
+	int64_t wanted_ms = heard_ms ? *heard_ms : now_ms;
+
+	return job->ended ? MIN(wanted_ms, job->closed_ms) : wanted_ms;
 }
 
-void executor_note_lease(const struct waxwing_cell *cell, struct executor *executor, int64_t now_ms)
+/* Returns how long the lease of a run may last from now on; at most 0: it is not extended. */
+static int64_t run_lease_ms(const struct waxwing_cell *cell, const struct cell_run *run,
+			    int64_t now_ms)
 {
-	executor->leases_expire_ms = now_ms + cell_lease_expires_after_ms(cell);
+	int64_t max_lease_ms = cell->options.max_lease_ms;
+	int64_t unwanted_ms;
+
+	/* a former owner started it; nobody has offered its job yet */
+	if (!run->job && run->first_seen_ms)
+		return 0;
+	if (!run->job || run->job->durable)
+		return max_lease_ms;
+	unwanted_ms = now_ms - last_wanted_ms(cell, run->job, now_ms);
+	return max_lease_ms - MAX(unwanted_ms - FULL_LEASE_MS, 0);
+}
+
+static int64_t executor_lease_ms(const struct waxwing_cell *cell, const struct executor *executor,
+				 int64_t now_ms)
+{
+	int64_t lease_ms = cell->options.max_lease_ms;
+
+	for (guint i = 0; i < executor->runs->len; i++)
+		lease_ms = MIN(lease_ms, run_lease_ms(cell, executor->runs->pdata[i], now_ms));
+	return lease_ms;
+}
+
+/*
+ * Returns the time on the executor's clock until which its leases are to be extended, and records
+ * it; 0: they are not extended. One time applies to all runs of an executor.
+ */
+int64_t executor_extend_lease(const struct waxwing_cell *cell, struct executor *executor,
+			      int64_t now_ms)
+{
+	int64_t lease_ms = executor_lease_ms(cell, executor, now_ms);
+
+	executor->lease_ms = lease_ms;
+	if (lease_ms <= 0)
+		return 0;
+	executor->leases_expire_ms = MAX(executor->leases_expire_ms,
+					 now_ms + lease_expires_after_ms((uint32_t)lease_ms));
+	return estimate_clock(executor, now_ms) + lease_ms;
 }
 
 /*
@@ -78,11 +142,6 @@
 	executor->clock_read_ms = now_ms;
 }
 
-static int64_t lease_expires_after_ms(uint32_t max_lease_ms)
-{
-	return (int64_t)(max_lease_ms / MIN_CLOCK_RATE) + REMOTE_TIME_MARGIN_MS;
-}
-
 int64_t cell_lease_expires_after_ms(const struct waxwing_cell *cell)
 {
 	return lease_expires_after_ms(cell->options.max_lease_ms);
@@ -90,7 +149,7 @@
 
 int64_t waxwing_cell_orders_expire_ms(uint32_t max_lease_ms)
 {
-	return WAXWING_PEER_TIMEOUT_MS + lease_expires_after_ms(max_lease_ms);
+	return FULL_LEASE_MS + lease_expires_after_ms(max_lease_ms);
 }
 
 static size_t count_ejected(const struct waxwing_cell *cell)
@@ -179,6 +238,7 @@
 	executor->hold_requested = true;
 	executor->next_hold_ms = now_ms;
 	executor->kind = find_kind(cell, entry->kind);
+	executor->lease_ms = cell->options.max_lease_ms;
 	/* a former owner may just have granted leases of the maximum duration */
 	if (cell->options.took_over)
 		executor->leases_expire_ms = cell->created_ms + cell_lease_expires_after_ms(cell);
--- a/src/cell/cell_hold.c
+++ b/src/cell/cell_hold.c
@@ -21,9 +21,11 @@
 #define MAX_ACK_DELAY_MS 30
 /*
  * Age at which the clock of an idle executor is read again. Leases are shorter by up to 2% of that
- * age, see executor_lease_expiry_ms().
+ * age, see executor_extend_lease().
  */
 #define CLOCK_REFRESH_MS 5000
+/* How long an executor waits before it answers a hold while the leases there are not extended. */
+#define UNKNOWN_RUNS_WAIT_MS 50
 /* Weight in the circuit breaker of an unanswered hold, relative to a failed task. */
 #define NO_ANSWER_WEIGHT 1.0
 
@@ -56,9 +58,11 @@
 static void send_hold(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms)
 {
 	struct waxwing_order_target target;
-	bool extend = executor->answered && !executor->unresponsive;
+	bool responsive = executor->answered && !executor->unresponsive;
+	int64_t until_ms = responsive ? executor_extend_lease(cell, executor, now_ms) : 0;
 	bool list_now; /* answer at once: ends must be listed again before their acknowledgement */
 	bool fresh;
+	uint32_t wait_ms = executor->unknown_runs ? UNKNOWN_RUNS_WAIT_MS : HOLD_WAIT_MS;
 
 	executor->hold_in_flight = true;
 	executor->hold_requested = false;
@@ -66,16 +70,13 @@
 	update_ackable_ends(cell, executor);
 	fresh = now_ms - executor->last_answer_ms <= MAX_ACK_DELAY_MS;
 	executor->acking_upto = fresh ? executor->ackable_upto : executor->acked_upto;
-	if (extend)
-		executor_note_lease(cell, executor, now_ms);
 	executor_target(cell, executor, &target);
 	list_now = !fresh && executor->ackable_upto > executor->acked_upto;
 	/* numbers are not acknowledged twice: a new incarnation may have restarted at 1 */
 	cell->options.ops->hold(
-		cell->options.data, &target,
-		extend ? executor_lease_expiry_ms(cell, executor, now_ms) : 0,
+		cell->options.data, &target, until_ms,
 		executor->acking_upto > executor->acked_upto ? executor->acking_upto : 0,
-		extend && executor->runs->len && !list_now ? HOLD_WAIT_MS : 0);
+		responsive && executor->runs->len && !list_now ? wait_ms : 0);
 }
 
 void cell_send_holds(struct waxwing_cell *cell, int64_t now_ms)
--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -327,6 +327,7 @@
 void job_close(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms)
 {
 	job->ended = true;
+	job->closed_ms = now_ms;
 	if (job_counts_as_waiting(job))
 		job->queue->waiting_jobs--;
 	drop_ready_tasks(cell, job);
@@ -592,7 +593,7 @@
 	 */
 	if (offer->running_before)
 		job->former_runs_until_ms =
-			now_ms + waxwing_cell_orders_expire_ms(cell->options.max_lease_ms);
+			now_ms + WAXWING_PEER_TIMEOUT_MS + cell_lease_expires_after_ms(cell);
 	if (job->spec->repetitions) {
 		job->occurrences = occurrences_create(job->spec);
 		job->remaining = job->total = job->spec->repetitions;
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -256,7 +256,7 @@
 		.spec = job->spec->spec,
 		.checkpoint = checkpoint_task(job, run->id.step, run->id.index)->checkpoint,
 		.ticket = permits_ticket(job, run->id.step, executor),
-		.lease_expiry_ms = executor_lease_expiry_ms(cell, executor, now_ms),
+		.lease_expiry_ms = executor_extend_lease(cell, executor, now_ms),
 	};
 	struct waxwing_order_target target;
 
@@ -267,7 +267,6 @@
 	task->last_run = run->id.run;
 	task->run = run;
 	job_task_assigned(cell, job, run->id.step, run->id.index);
-	executor_note_lease(cell, executor, now_ms);
 	cell->starts++;
 	waxwing_event("run_started",
 		      "job=%016llx step=%u index=%u run=%u executor=%s speed_pct=%d due_in_ms=%lld "
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -100,6 +100,7 @@
 	struct queue *queue;
 	int64_t arrived_ms;
 	int64_t due_ms; /* target completion time */
+	int64_t closed_ms; /* if ended: when it ended */
 	int64_t former_runs_until_ms; /* runs of former owners have ended by this time; 0: none */
 	uint32_t ready_tasks; /* tasks in TASK_READY */
 	uint32_t assigned_tasks; /* tasks in TASK_ASSIGNED */
@@ -172,6 +173,7 @@
 	int64_t next_hold_ms; /* earliest time of the next hold */
 	int64_t last_answer_ms; /* time of the last answer to a hold */
 	int64_t leases_expire_ms; /* time by which all leases granted there have expired */
+	int64_t lease_ms; /* by how much its leases were last extended; at most 0: they were not */
 	int64_t clock_ms; /* the executor's clock at clock_read_ms */
 	int64_t clock_read_ms;
 	uint64_t processed_upto; /* number of the last end that was processed */
@@ -233,6 +235,7 @@
 	GHashTable *kinds; /* name -> struct hardware_kind */
 	GHashTable *queues; /* name -> struct queue */
 	GHashTable *verdicts; /* job id -> struct cached_verdict */
+	GHashTable *issuers_heard; /* issuer -> int64_t, see waxwing_cell_issuer_heard() */
 	GHashTable *finished; /* job id -> struct finished_job */
 	uint64_t last_record; /* number of the last journal record */
 	uint64_t stored_upto; /* journal records up to this number are stored */
@@ -267,10 +270,8 @@
 		     struct waxwing_order_target *target);
 /* Duration in ms after which a lease granted now must have expired. */
 int64_t cell_lease_expires_after_ms(const struct waxwing_cell *cell);
-int64_t executor_lease_expiry_ms(const struct waxwing_cell *cell, const struct executor *executor,
-				 int64_t now_ms);
-void executor_note_lease(const struct waxwing_cell *cell, struct executor *executor,
-			 int64_t now_ms);
+int64_t executor_extend_lease(const struct waxwing_cell *cell, struct executor *executor,
+			      int64_t now_ms);
 void executor_set_clock(struct executor *executor, int64_t now_ms, int64_t clock_ms);
 void executor_add_failure(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms,
 			  double weight);
--- a/src/cell/cell_run.c
+++ b/src/cell/cell_run.c
@@ -52,6 +52,8 @@
 
 	capacity_subtract(&executor->allocated, &run->needs);
 	g_ptr_array_remove_fast(executor->runs, run);
+	if (!executor->runs->len)
+		executor->lease_ms = cell->options.max_lease_ms;
 	if (!run->job && run->first_seen_ms)
 		executor->unknown_runs--;
 	waxwing_breaker_task_ended(&executor->breaker);
--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -437,6 +437,7 @@
 	}
 	if (message->has_echo_ms)
 		issuer->echo_ms = MAX(issuer->echo_ms, (int64_t)message->echo_ms);
+	waxwing_cell_issuer_heard(cell->owned, sender, issuer->echo_ms);
 	if (now_ms - issuer->echo_ms < WAXWING_PEER_TIMEOUT_MS)
 		issuer->is_unresponsive = false;
 	if (message->ping)
--- a/test/cell_fixture.h
+++ b/test/cell_fixture.h
@@ -21,6 +21,7 @@
 	uint64_t handle; /* of the executor that got the last hold */
 	uint32_t holds;
 	bool last_hold_extends; /* the last hold extended leases */
+	int64_t last_until_ms; /* to when, on the executor's clock; 0: not */
 	uint64_t acked_upto;
 	uint32_t fenced;
 	uint64_t recorded; /* number of journal records */
@@ -79,6 +80,7 @@
 	recorder->handle = target->handle;
 	recorder->holds++;
 	recorder->last_hold_extends = until_ms != 0;
+	recorder->last_until_ms = until_ms;
 	recorder->acked_upto = acked_upto;
 }
 
--- a/test/test_cell.c
+++ b/test/test_cell.c
@@ -493,6 +493,68 @@
 	tear_down(&fixture);
 }
 
+/*
+ * Guards against two runs of one task: an issuer was lost, and the owner extended the leases of its
+ * jobs until it noticed, just before the executor became unreachable. The runs went on while the
+ * callers had submitted their jobs again. An issuer's jobs have ended 1300 ms after it was lost.
+ */
+static void test_lease_of_lost_issuer(void)
+{
+	struct fixture fixture;
+	struct waxwing_running_run running = { .run_id = { 1, 0, 0, 0, 1 } };
+	uint64_t handle;
+	int64_t lost_ms;
+
+	set_up(&fixture, false);
+	handle = ready_executor(&fixture, "a", 8000);
+	waxwing_cell_issuer_heard(fixture.cell, 5, fixture.now_ms);
+	waxwing_cell_offer(fixture.cell, fixture.now_ms, 5,
+			   make_offer(1, 1, 6000, 3000, false, false));
+	advance(&fixture, 10);
+	answer_started(&fixture, 0);
+	waxwing_cell_issuer_heard(fixture.cell, 5, fixture.now_ms);
+	lost_ms = fixture.now_ms;
+	for (int i = 0; i < 30; i++) {
+		advance(&fixture, 20);
+		answer_hold(&fixture, handle, &running, 1, NULL, 0);
+		g_assert_cmpint(fixture.recorder.last_until_ms, <=,
+				CLOCK_OFFSET_MS + lost_ms + 250 + MAX_LEASE_MS);
+	}
+	waxwing_cell_issuer_heard(fixture.cell, 5, fixture.now_ms);
+	advance(&fixture, 20);
+	answer_hold(&fixture, handle, &running, 1, NULL, 0);
+	advance(&fixture, 20);
+	g_assert_cmpint(fixture.recorder.last_until_ms, >,
+			CLOCK_OFFSET_MS + fixture.now_ms + MAX_LEASE_MS - 50);
+	tear_down(&fixture);
+}
+
+/*
+ * Guards against two runs of one task: a successor extended the leases of runs whose job nobody had
+ * offered to it, as the former owner was the job's issuer (/node_resubmit/mix, seed 518).
+ */
+static void test_lease_of_unknown_run(void)
+{
+	struct fixture fixture;
+	struct waxwing_running_run running = { .run_id = { 9, 0, 0, 0, 1 } };
+	uint64_t handle;
+
+	set_up(&fixture, true);
+	add_executor(&fixture, "a", 16000, 0);
+	waxwing_cell_advance(fixture.cell, fixture.now_ms);
+	handle = fixture.recorder.handle;
+	for (int i = 0; i < 10; i++) {
+		answer_hold(&fixture, handle, &running, 1, NULL, 0);
+		advance(&fixture, 20);
+		g_assert_false(fixture.recorder.last_hold_extends);
+	}
+	offer(&fixture, 9, 1, 6000, 100, true);
+	answer_hold(&fixture, handle, &running, 1, NULL, 0);
+	advance(&fixture, 20);
+	g_assert_true(fixture.recorder.last_hold_extends);
+	tear_down(&fixture);
+}
+
 static void test_delayed_start_of_task(void)
 {
 	test_start_delayed(false);
@@ -610,6 +672,8 @@
 	g_test_add_func("/cell/lease_of_slow_clock", test_lease_of_slow_clock);
 	g_test_add_func("/cell/idle_clock_refresh", test_idle_clock_refresh);
 	g_test_add_func("/cell/adopted_not_refused", test_adopted_not_refused);
+	g_test_add_func("/cell/lease_of_lost_issuer", test_lease_of_lost_issuer);
+	g_test_add_func("/cell/lease_of_unknown_run", test_lease_of_unknown_run);
 	g_test_add_func("/cell/new_life", test_new_incarnation);
 	g_test_add_func("/cell/refuses_hopeless", test_refuses_late_job);
 	g_test_add_func("/cell/never_fits", test_never_fits);
