src/node: a node that was paused starts nothing for callers that have gone

Callers saw: a job that they submitted again after their node had stood still for seconds was started by that node, too, for some milliseconds. Cause: when a node that owns a cell wakes, the cells run first and place ready tasks; only then are the jobs withdrawn whose callers have stopped waiting. If nobody has replaced the owner (no other node of its failure domain is there), no executor rejects these orders. Now the node's pending jobs are gone through first.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -118,8 +118,9 @@
 			waxwing_cell_claim_set_synced(
 				((struct node_cell *)node->cells->pdata[i])->claim);
 	node_routing_run(node, now_ms);
-	node_cells_run(node, now_ms);
+	/* first, so that after a pause no cell starts tasks for callers that have stopped waiting */
 	node_jobs_run(node, now_ms);
+	node_cells_run(node, now_ms);
 	node_withdrawals_run(node, now_ms);
 	node_queries_run(node, now_ms);
 	waxwing_node_process_events(node);
