--- a/test/scripts/node_path.sh
+++ b/test/scripts/node_path.sh
@@ -86,6 +86,16 @@
 call 1 GET /q/00000000000000c2
 echo "starts: $(cat "$WORK"/x?.tasks | grep -c '^start 00000000000000c1')"
 
+# Guards against two runs of one task: the caller of a paused node has left, and submits its job elsewhere, before the
+# node reads the request.
+echo "# a caller that leaves while its node is paused"
+kill -STOP "$(pid_of node1)"
+curl -s -m 0.3 -X POST -H "Host: orders.example" --data-binary "$(best_effort_job 50 x)" \
+	"http://$(node_address 1):8000/q/00000000000000e1" || echo "curl: exit $?"
+kill -CONT "$(pid_of node1)"
+call 1 POST /q/00000000000000e2 "$(best_effort_job 50 x)"
+echo "starts: $(cat "$WORK"/x?.tasks | grep -c '^start 00000000000000e1')" "$(cat "$WORK"/x?.tasks | grep -c '^start 00000000000000e2')"
+
 echo "# a job at set times"
 repeated_job() { echo "{\"Spec\":\"sleep=20\",\"Repetitions\":3,\"FirstMs\":$(($(date +%s%3N) + 200)),\"IntervalMs\":150,\"Steps\":[{\"Count\":2,\"Cpu\":1000}]}"; }
 call 1 POST /q/00000000000000d1 "$(repeated_job)"
