src/bench: no more sending threads than there are sends

The load tool starts 768 threads however many requests it is to send (60 in this script); gcc 12's thread sanitizer has room for the traces of some 510 threads on arm64, and ends the program in pthread_create (tsan_rtl.cpp:323). On x86-64 the room is larger. Now at most one thread a send.

--- a/src/bench/bench_load.c
+++ b/src/bench/bench_load.c
@@ -357,7 +357,8 @@
 
 static void send_all(struct load_run *load)
 {
-	uint32_t count = load->options->threads ? load->options->threads : DEFAULT_THREADS;
+	uint32_t max = load->options->threads ? load->options->threads : DEFAULT_THREADS;
+	uint32_t count = MIN(max, load->sends->len);
 	pthread_t *threads = g_new(pthread_t, count);
 	uint32_t started = 0;
 
