src/cell: a run of a quiet issuer does not get a neighbour's longer lease

An executor has one lease for all its runs and never shortens it, so a task of an issuer that had not been heard for 0.25 to 0.65 s, started where another run had just been granted 1 s, got as long. Now such a task only starts on an executor whose granted leases end in time for it. Test /cell/start_beside_longer_lease failed before (two starts).

--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -129,8 +129,8 @@
 
 /**
  * Returns how long an issuer must have received nothing from an owner to be sure that all runs
- * which the owner started for the issuer's jobs have ended, except durable jobs. The leases that
- * the owner grants depend on when it heard the issuer, so the last one has expired by then.
+ * which the owner started for the issuer's jobs have ended. The owner starts no runs and extends no
+ * leases for an unreachable issuer, so the last lease has expired by then.
  */
 int64_t waxwing_cell_orders_expire_ms(uint32_t max_lease_ms);
 
--- a/src/cell/cell_executor.c
+++ b/src/cell/cell_executor.c
@@ -103,6 +103,18 @@
 	return max_lease_ms - MAX(unwanted_ms - FULL_LEASE_MS, 0);
 }
 
+/*
+ * Returns true if the leases that the executor has been granted do not outlast those that a run of
+ * the job may get: a lease is never shortened, and applies to runs that start later.
+ */
+bool executor_lease_suits(const struct waxwing_cell *cell, const struct executor *executor,
+			  const struct cell_job *job, int64_t now_ms)
+{
+	return job->durable ||
+	       executor->leases_expire_ms <= last_wanted_ms(cell, job, now_ms) + FULL_LEASE_MS +
+						     cell_lease_expires_after_ms(cell);
+}
+
 static int64_t executor_lease_ms(const struct waxwing_cell *cell, const struct executor *executor,
 				 int64_t now_ms)
 {
@@ -149,7 +161,7 @@
 
 int64_t waxwing_cell_orders_expire_ms(uint32_t max_lease_ms)
 {
-	return FULL_LEASE_MS + lease_expires_after_ms(max_lease_ms);
+	return WAXWING_PEER_TIMEOUT_MS + lease_expires_after_ms(max_lease_ms);
 }
 
 static size_t count_ejected(const struct waxwing_cell *cell)
--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -593,7 +593,7 @@
 	 */
 	if (offer->running_before)
 		job->former_runs_until_ms =
-			now_ms + WAXWING_PEER_TIMEOUT_MS + cell_lease_expires_after_ms(cell);
+			now_ms + waxwing_cell_orders_expire_ms(cell->options.max_lease_ms);
 	if (job->spec->repetitions) {
 		job->occurrences = occurrences_create(job->spec);
 		job->remaining = job->total = job->spec->repetitions;
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -158,6 +158,8 @@
 		if (!fits(executor, &needs) || !executor_usable(executor, now_ms) ||
 		    !is_allowed(executor, job, step))
 			continue;
+		if (!executor_lease_suits(cell, executor, job, now_ms))
+			continue;
 		if (task->last_failed_on && strcmp(task->last_failed_on, executor->id) == 0)
 			continue;
 		executor_speed = speed_for(cell, executor, &job->steps[step]);
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -270,6 +270,8 @@
 		     struct waxwing_order_target *target);
 /* Duration in ms after which a lease granted now must have expired. */
 int64_t cell_lease_expires_after_ms(const struct waxwing_cell *cell);
+bool executor_lease_suits(const struct waxwing_cell *cell, const struct executor *executor,
+			  const struct cell_job *job, int64_t now_ms);
 int64_t executor_extend_lease(const struct waxwing_cell *cell, struct executor *executor,
 			      int64_t now_ms);
 void executor_set_clock(struct executor *executor, int64_t now_ms, int64_t clock_ms);
--- a/test/test_cell.c
+++ b/test/test_cell.c
@@ -529,6 +529,39 @@
 	tear_down(&fixture);
 }
 
+/*
+ * Guards against two runs of one task: a run of an issuer that was quiet got the longer lease that
+ * its executor had been granted for another run.
+ */
+static void test_start_beside_longer_lease(void)
+{
+	struct fixture fixture;
+	struct waxwing_running_run running = { .run_id = { 2, 0, 0, 0, 1 } };
+	uint64_t handle;
+
+	set_up(&fixture, false);
+	handle = ready_executor(&fixture, "a", 8000);
+	waxwing_cell_issuer_heard(fixture.cell, 6, fixture.now_ms);
+	waxwing_cell_offer(fixture.cell, fixture.now_ms, 6,
+			   make_offer(2, 1, 3000, 3000, false, false));
+	advance(&fixture, 10);
+	answer_started(&fixture, 0);
+	waxwing_cell_issuer_heard(fixture.cell, 5, fixture.now_ms);
+	for (int i = 0; i < 30; i++) {
+		advance(&fixture, 20);
+		waxwing_cell_issuer_heard(fixture.cell, 6, fixture.now_ms);
+		answer_hold(&fixture, handle, &running, 1, NULL, 0);
+	}
+	waxwing_cell_offer(fixture.cell, fixture.now_ms, 5,
+			   make_offer(1, 1, 3000, 3000, false, false));
+	advance(&fixture, 10);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 1);
+	waxwing_cell_issuer_heard(fixture.cell, 5, fixture.now_ms);
+	advance(&fixture, 10);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 2);
+	tear_down(&fixture);
+}
+
 /*
  * Guards against two runs of one task: a successor extended the leases of runs whose job nobody had
  * offered to it, as the former owner was the job's issuer (/node_resubmit/mix, seed 518).
@@ -673,6 +706,7 @@
 	g_test_add_func("/cell/idle_clock_refresh", test_idle_clock_refresh);
 	g_test_add_func("/cell/adopted_not_refused", test_adopted_not_refused);
 	g_test_add_func("/cell/lease_of_lost_issuer", test_lease_of_lost_issuer);
+	g_test_add_func("/cell/start_beside_longer_lease", test_start_beside_longer_lease);
 	g_test_add_func("/cell/lease_of_unknown_run", test_lease_of_unknown_run);
 	g_test_add_func("/cell/new_life", test_new_incarnation);
 	g_test_add_func("/cell/refuses_hopeless", test_refuses_late_job);
