src/cell: a copy of a refused offer is refused, too

Callers saw: a job that must be kept ran though they had been told (429) that it did not. Cause: an issuer sends a kept job's offer again every 250 ms until it is answered. An owner that had been paused read two copies, refused the first for load, and took the second for a new job, since only best-effort offers are compared with the last verdict. Now an offer whose submission is older than the refusal is refused as well. Test /cell/repeated_offer_refused failed before.

--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -704,6 +704,25 @@
 	       offer->age_ms + OFFER_TRANSIT_MS >= VERDICT_CACHE_MS;
 }
 
+/*
+ * Offers of a durable job are sent again until they are answered, so another copy may arrive after
+ * the job was refused. Its issuer may have told the caller by then that nothing runs, so the copy is
+ * refused as well. Returns true if it was; frees the offer then.
+ */
+static bool refuse_repeated_offer(struct waxwing_cell *cell, int64_t now_ms, uint64_t issuer,
+				  Waxwing__JobOffer *offer)
+{
+	const struct cached_verdict *cached = g_hash_table_lookup(cell->verdicts, &offer->job->id);
+	int64_t submitted_ms = now_ms - offer->age_ms;
+
+	if (!cached || cached->verdict.outcome != WAXWING_JOB_REFUSED ||
+	    submitted_ms > cached->expires_ms - VERDICT_CACHE_MS)
+		return false;
+	cell->options.ops->send_verdict(cell->options.data, issuer, &cached->verdict);
+	waxwing__job_offer__free_unpacked(offer, NULL);
+	return true;
+}
+
 /* Returns true if an executor has a run of the job that a former owner started. */
 static bool has_unknown_runs(const struct waxwing_cell *cell, uint64_t id)
 {
@@ -732,6 +751,8 @@
 	if (spec->kept ? durable_answer_offer(cell, now_ms, issuer, offer) :
 			 answer_known_offer(cell, issuer, offer))
 		return;
+	if (spec->kept && refuse_repeated_offer(cell, now_ms, issuer, offer))
+		return;
 	job = cell_find_job(cell, spec->id);
 	if (job || may_be_forgotten(offer)) {
 		/* runs of an earlier submission are still being stopped, or may have been */
--- a/test/test_cell.c
+++ b/test/test_cell.c
@@ -427,6 +427,31 @@
 	tear_down(&fixture);
 }
 
+/*
+ * Guards against a job that runs though its caller was told that it did not: another copy of a
+ * durable job's offer arrived after the job was refused, and was accepted
+ * (/node_resubmit/mix, seed 3066). A later submission is accepted.
+ */
+static void test_repeated_offer_refused(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture, false);
+	next_age_ms = 50;
+	offer_job(&fixture, 1, 1, 6000, 1000, false, true);
+	g_assert_cmpuint(verdict_at(&fixture, 0)->outcome, ==, WAXWING_JOB_REFUSED);
+	ready_executor(&fixture, "a", 8000);
+	fixture.now_ms += 10;
+	offer_job(&fixture, 1, 1, 6000, 1000, false, true);
+	g_assert_cmpuint(verdict_at(&fixture, 1)->outcome, ==, WAXWING_JOB_REFUSED);
+	g_assert_cmpuint(fixture.recorder.recorded, ==, 0);
+	fixture.now_ms += 200;
+	offer_job(&fixture, 1, 1, 6000, 1000, false, true);
+	next_age_ms = 0;
+	g_assert_cmpuint(fixture.recorder.recorded, ==, 1);
+	tear_down(&fixture);
+}
+
 /*
  * A job that another issuer has offered since has a caller that waits: the first issuer's
  * withdrawal, which may arrive late, has no effect.
@@ -707,6 +732,7 @@
 	g_test_add_func("/cell/adopted_not_refused", test_adopted_not_refused);
 	g_test_add_func("/cell/lease_of_lost_issuer", test_lease_of_lost_issuer);
 	g_test_add_func("/cell/start_beside_longer_lease", test_start_beside_longer_lease);
+	g_test_add_func("/cell/repeated_offer_refused", test_repeated_offer_refused);
 	g_test_add_func("/cell/lease_of_unknown_run", test_lease_of_unknown_run);
 	g_test_add_func("/cell/new_life", test_new_incarnation);
 	g_test_add_func("/cell/refuses_hopeless", test_refuses_late_job);
