src/node: a silence of an issuer is noticed before its next message

Callers saw: a job ran in two cells at the same time after its cell's owner had stood still. Cause: an owner that wakes reads the messages that have come meanwhile before it runs. It answers the first ping at once, and if reading them takes a while, as on a slow machine, the issuer's next message, which has received that answer, is among them. Now an owner looks whether an issuer was silent before it takes its message. Test /node_change/silence_before_message failed before.

--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -417,6 +417,17 @@
 		      (unsigned long long)message.fencing_token);
 }
 
+/* Stops the jobs of an issuer that has received nothing from this owner for too long. */
+static void check_issuer(struct node_cell *cell, struct issuer *issuer, int64_t now_ms)
+{
+	if (issuer->is_unresponsive || now_ms - issuer->echo_ms < WAXWING_PEER_TIMEOUT_MS)
+		return;
+	issuer->is_unresponsive = true;
+	waxwing_event("issuer_silent", "cell=%s sender=%016llx", cell->name,
+		      (unsigned long long)issuer->sender);
+	waxwing_cell_stop_issuer_jobs(cell->owned, now_ms, issuer->sender);
+}
+
 /*
  * An issuer considers the owner unreachable WAXWING_PEER_TIMEOUT_MS after the owner's last message
  * that it received. The issuer's messages echo the owner's time of that message, so that the owner
@@ -435,6 +446,8 @@
 			true; /* until it has received a message from this owner */
 		g_hash_table_insert(cell->issuers, &issuer->sender, issuer);
 	}
+	/* after a pause of this node, the message may hide a silence that nothing has noticed yet */
+	check_issuer(cell, issuer, now_ms);
 	if (message->has_echo_ms)
 		issuer->echo_ms = MAX(issuer->echo_ms, (int64_t)message->echo_ms);
 	waxwing_cell_issuer_heard(cell->owned, sender, issuer->echo_ms);
@@ -502,16 +515,8 @@
 		return;
 	confirm_executor_list(cell, now_ms);
 	g_hash_table_iter_init(&iter, cell->issuers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct issuer *issuer = value;
-
-		if (issuer->is_unresponsive || now_ms - issuer->echo_ms < WAXWING_PEER_TIMEOUT_MS)
-			continue;
-		issuer->is_unresponsive = true;
-		waxwing_event("issuer_silent", "cell=%s sender=%016llx", cell->name,
-			      (unsigned long long)issuer->sender);
-		waxwing_cell_stop_issuer_jobs(cell->owned, now_ms, issuer->sender);
-	}
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		check_issuer(cell, value, now_ms);
 	waxwing_cell_set_wall_clock_offset(cell->owned, node_day_offset(cell->node));
 	waxwing_cell_advance(cell->owned, now_ms);
 	waxwing_journal_run(cell->journal);
--- a/test/test_node_change.c
+++ b/test/test_node_change.c
@@ -163,26 +163,71 @@
 	}
 }
 
-struct leave_wait {
+struct job_wait {
 	struct waxwing_job_waiter waiter; /* must be the first member */
 	struct waxwing_node_answer answer;
 	bool answered;
 };
 
-static void leave_answered(struct waxwing_job_waiter *waiter,
-			   const struct waxwing_node_answer *answer)
+static void wait_answered(struct waxwing_job_waiter *waiter,
+			  const struct waxwing_node_answer *answer)
 {
-	struct leave_wait *wait = (struct leave_wait *)waiter;
+	struct job_wait *wait = (struct job_wait *)waiter;
 
 	wait->answer = *answer;
 	wait->answered = true;
 }
 
+/*
+ * Guards against two runs of one task: an owner that wakes from a pause read an issuer's message
+ * that answers what it had just sent, before it noticed that it had not been heard for long. It went
+ * on with jobs that the issuer had moved to another cell.
+ */
+static void test_silence_before_message(void)
+{
+	struct cluster_sim *sim = create_settled_sim(1);
+	struct sim_host *owner = &sim->hosts[find_owner(sim, 0)];
+	struct sim_host *issuer = &sim->hosts[(owner->index + 1) % NODES];
+	Waxwing__NodeMessage message = WAXWING__NODE_MESSAGE__INIT;
+	struct client_job *job = g_new0(struct client_job, 1);
+	struct job_wait wait = { .waiter = { .answer = wait_answered } };
+	uint32_t running = 0;
+
+	job->id = 1000001;
+	job->tasks = 1;
+	job->work_ms = 4000;
+	job->submissions = g_ptr_array_new();
+	g_hash_table_insert(sim->jobs, &job->id, job);
+	/* for a while the other cells have no owner */
+	for (int zone = 1; zone < ZONES; zone++)
+		node_kill(sim, find_owner(sim, zone));
+	if (!issuer->node)
+		issuer = &sim->hosts[(issuer->index + ZONES) % NODES];
+	sim_run(sim, WAXWING_PEER_TIMEOUT_MS + 10);
+	waxwing_node_submit(issuer->node, make_job(job), &wait.waiter);
+	sim_run(sim, 100);
+	for (int i = 0; i < EXECUTORS; i += ZONES)
+		running += sim->executors[i].runs->len;
+	g_assert_cmpuint(running, ==, 1);
+	owner->frozen_until_ms = sim_now(sim) + 10000;
+	sim_run(sim, 800);
+	message.cell = (char *)"z0";
+	message.fencing_token = store_revision(sim, "cells/z0");
+	message.has_echo_ms = true;
+	message.echo_ms = (uint64_t)sim_now(sim);
+	waxwing_node_handle_message(owner->node, issuer->incarnation, &message);
+	waxwing_node_process_events(owner->node);
+	sim_run(sim, STOP_MS + 10);
+	for (int i = 0; i < EXECUTORS; i += ZONES)
+		g_assert_cmpuint(sim->executors[i].runs->len, ==, 0);
+	sim_destroy(sim);
+}
+
 /* Submits a job of a task of 100 ms, and returns the outcome after half a second. */
-static struct leave_wait submit_to(struct cluster_sim *sim, int node, uint64_t id)
+static struct job_wait submit_to(struct cluster_sim *sim, int node, uint64_t id)
 {
 	struct client_job job = { .id = id, .tasks = 1, .work_ms = 100 };
-	struct leave_wait wait = { .waiter = { .answer = leave_answered } };
+	struct job_wait wait = { .waiter = { .answer = wait_answered } };
 
 	waxwing_node_submit(sim->hosts[node].node, make_job(&job), &wait.waiter);
 	sim_run(sim, 500);
@@ -196,8 +241,8 @@
 static void test_leaving_serves(void)
 {
 	struct cluster_sim *sim = create_settled_sim(1);
-	struct leave_wait early;
-	struct leave_wait late;
+	struct job_wait early;
+	struct job_wait late;
 
 	waxwing_node_leave(sim->hosts[0].node, LEAVE_TIME_MS);
 	sim_run(sim, 4500);
@@ -222,7 +267,7 @@
 	struct cluster_sim *sim = create_settled_sim(1);
 	int owner = find_owner(sim, 0);
 	int other = (owner + ZONES) % NODES; /* in the same failure domain */
-	struct leave_wait wait = { .waiter = { .answer = leave_answered } };
+	struct job_wait wait = { .waiter = { .answer = wait_answered } };
 	struct client_job job = { .id = 1000001, .tasks = 1, .work_ms = 100 };
 
 	node_kill(sim, owner);
@@ -295,6 +340,7 @@
 	g_test_add_func("/node_change/domain_restarts", test_domain_restarts);
 	g_test_add_func("/node_change/hand_back_needs_store", test_hand_back_needs_store);
 	g_test_add_func("/node_change/isolated_without_owner", test_isolated_without_owner);
+	g_test_add_func("/node_change/silence_before_message", test_silence_before_message);
 	g_test_add_func("/node_change/former_owner_wakes", test_former_owner_wakes);
 	g_test_add_func("/node_change/release_unanswered", test_release_unanswered);
 	return g_test_run();
