--- a/src/cell/cell_executor.c
+++ b/src/cell/cell_executor.c
@@ -5,8 +5,9 @@
 #include "log.h"
 
 /*
- * Leases are extended in full while the issuers of an executor's runs were heard within this time,
- * and no further than that after it. Longer than the interval of an issuer's pings.
+ * While all issuers of an executor's runs were heard within this time, leases there are extended by
+ * their full length. After that they are not extended any further. Longer than the interval of an
+ * issuer's pings.
  */
 #define FULL_LEASE_MS 250
 /* No task starts on an executor whose leases may only be extended by less than this. */
--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -446,7 +446,7 @@
 			true; /* until it has received a message from this owner */
 		g_hash_table_insert(cell->issuers, &issuer->sender, issuer);
 	}
-	/* after a pause of this node, the message may hide a silence that nothing has noticed yet */
+	/* after a pause of this node, a silence before this message may not have been noticed yet */
 	check_issuer(cell, issuer, now_ms);
 	if (message->has_echo_ms)
 		issuer->echo_ms = MAX(issuer->echo_ms, (int64_t)message->echo_ms);
--- a/test/test_node_resubmit.c
+++ b/test/test_node_resubmit.c
@@ -8,9 +8,10 @@
 /* How long clients wait, as on the users' sites. */
 #define PATIENCE_MS 1500
 /* Longest run time of a task: several times longer than clients wait. */
-#define LONG_WORK_MS	     3000
-#define RANDOM_FAULT_SEEDS   40
-#define RANDOM_FAULT_ROUNDS  20
+#define LONG_WORK_MS	    3000
+#define RANDOM_FAULT_SEEDS  40
+#define RANDOM_FAULT_ROUNDS 20
+/* Interval between submissions of long jobs. */
 #define LONG_JOB_INTERVAL_MS 100
 
 /* Submits long jobs for @ms. */
