--- a/review/lib.sh
+++ b/review/lib.sh
@@ -149,7 +149,7 @@
 	start_node 1 east east north west
 	start_node 2 north east north west
 	start_node 3 west east north west
-	put_config 3 "$(route q 4 4000)"
+	put_config 3 "$(route q 4 ${TARGET_MS:-4000})"
 	await_ready 1 2 3
 	sleep 2
 }
