--- a/review/lib.sh
+++ b/review/lib.sh
@@ -137,7 +137,6 @@
 job() { target/review/call -r "$RECORD" -t "${PATIENCE:-4000}" "$2" "$(node_ip "$1"):8161" "$3" "$HOST" "${4:-}"; }
 state_of() { job "$1" GET "$2" | sed -n 's/^200 .*"State":"\([a-z]*\)".*/\1/p'; }
 state_is() { [ "$(state_of "$1" "$2")" = "$3" ]; }
-owner_of() { cat "$WORK"/node*.out | grep -c '"event":"cell_taken".*"cell":"'"$1"'"'; }
 
 # start_three_zones: 3 nodes and 12 executors; each zone has one executor of kind b, which is e-ZONE-4
 start_three_zones() {
--- a/review/standin/executor.c
+++ b/review/standin/executor.c
@@ -22,13 +22,13 @@
 #include <time.h>
 #include <unistd.h>
 
-#define MAX_LEASE_MS	   1000
-#define STOP_MS		   20
-#define HEARTBEAT_MS	   1500
-#define MAX_LISTED_ENDS	   500
-#define POLL_INTERVAL_MS   2
-#define DEFAULT_RUN_MS	   50
-#define MAX_CONNECTIONS	   600
+#define MAX_LEASE_MS	 1000
+#define STOP_MS		 20
+#define HEARTBEAT_MS	 1500
+#define MAX_LISTED_ENDS	 500
+#define POLL_INTERVAL_MS 2
+#define DEFAULT_RUN_MS	 50
+#define MAX_CONNECTIONS	 600
 
 struct run {
 	struct waxwing_run_id run_id;
