A released cell names the executors where its leases last

Cause: after an orderly handover the new owner took the list of executors for complete, and started the former owner's tasks as soon as each listed executor had listed its runs. An executor that does not reach the store is not in the list, but its runs go on under leases that the former owner extended until it released the cell. The same held where the former owner had taken the cell over a moment before from one that was lost: the handover counted as orderly, and what the lost one had started was forgotten.

Change: the entry that releases a cell names, by hash, each executor where leases may last, and describes those that are not listed. The new owner asks the described ones for their runs and goes on with them; it starts no new ones there. While a named executor is unknown to it, it waits for the leases to end. A release names nothing while the takeover before it was not orderly and its waits are not over; the handover then does not count as orderly. Offers say which owner the job was first offered to, so that a job of an owner from before the orderly handovers waits even if all else is known. With the names, a new owner no longer has to wait until its own list is as recent as its claim.

--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -134,6 +134,9 @@
  */
 int64_t waxwing_cell_orders_expire_ms(uint32_t max_lease_ms);
 
+/** Returns the time after which a lease granted now has expired, whatever the executor's clock. */
+int64_t waxwing_cell_lease_expires_ms(uint32_t max_lease_ms);
+
 /** A start order; valid during the call. */
 struct waxwing_run_order {
 	struct waxwing_run_id run_id;
@@ -226,6 +229,11 @@
 	 * owner's jobs are not started until the leases that it granted have expired.
 	 */
 	bool list_incomplete;
+	/**
+	 * Owners with lower fencing tokens may have runs on executors that are not known, even if
+	 * the list is complete.
+	 */
+	uint64_t orderly_since;
 	/** The journal is being replayed, see waxwing_cell_replay(). */
 	bool recovering;
 	uint32_t status_ms; /**< how long the state of an ended job can be queried */
@@ -242,9 +250,30 @@
 /** Sets wall-clock time minus the caller's clock, used to schedule repeating jobs. */
 void waxwing_cell_set_wall_clock_offset(struct waxwing_cell *cell, int64_t wall_offset_ms);
 
-/** Clears list_incomplete: all executors that a former owner could have used are known. */
+/**
+ * Clears list_incomplete: all executors where leases of former owners may last are known, except
+ * for owners with tokens lower than orderly_since.
+ */
 void waxwing_cell_set_list_complete(struct waxwing_cell *cell);
 
+/**
+ * Adds an executor that is not in the platform's list but where runs of a former owner may last. No
+ * task starts there until waxwing_cell_set_executor() is called for it. Has no effect on an
+ * executor that the cell has.
+ */
+void waxwing_cell_add_unlisted_executor(struct waxwing_cell *cell, int64_t now_ms,
+					const struct waxwing_executor_entry *entry);
+
+/**
+ * Calls @each for every executor where leases of this owner or of a former one may last.
+ * @unlisted: it has left the platform's list.
+ */
+void waxwing_cell_foreach_leased_executor(const struct waxwing_cell *cell, int64_t now_ms,
+					  void (*each)(void *data,
+						       const struct waxwing_executor_entry *entry,
+						       bool unlisted),
+					  void *data);
+
 /** Adds an executor or updates it. It may belong to another failure domain. */
 void waxwing_cell_set_executor(struct waxwing_cell *cell, int64_t now_ms,
 			       const struct waxwing_executor_entry *entry);
--- a/src/cell/cell_executor.c
+++ b/src/cell/cell_executor.c
@@ -160,6 +160,11 @@
 	return lease_expires_after_ms(cell->options.max_lease_ms);
 }
 
+int64_t waxwing_cell_lease_expires_ms(uint32_t max_lease_ms)
+{
+	return lease_expires_after_ms(max_lease_ms);
+}
+
 int64_t waxwing_cell_orders_expire_ms(uint32_t max_lease_ms)
 {
 	return WAXWING_PEER_TIMEOUT_MS + lease_expires_after_ms(max_lease_ms);
@@ -301,6 +306,45 @@
 			      executor->runs->len);
 }
 
+void waxwing_cell_add_unlisted_executor(struct waxwing_cell *cell, int64_t now_ms,
+					const struct waxwing_executor_entry *entry)
+{
+	struct executor *executor;
+
+	if (g_hash_table_contains(cell->executors_by_id, entry->id))
+		return;
+	waxwing_cell_set_executor(cell, now_ms, entry);
+	executor = g_hash_table_lookup(cell->executors_by_id, entry->id);
+	executor->unlisted_since_ms = now_ms;
+	executor->removed = true;
+}
+
+void waxwing_cell_foreach_leased_executor(const struct waxwing_cell *cell, int64_t now_ms,
+					  void (*each)(void *data,
+						       const struct waxwing_executor_entry *entry,
+						       bool unlisted),
+					  void *data)
+{
+	for (guint i = 0; i < cell->executors->len; i++) {
+		const struct executor *executor = cell->executors->pdata[i];
+		struct waxwing_executor_entry entry = {
+			.id = executor->id,
+			.address = executor->address,
+			.service = executor->service,
+			.zone = cell->options.name,
+			.kind = executor->kind->name,
+			.rack = executor->rack,
+			.labels = (const char *const *)executor->labels,
+			.capacity = executor->capacity,
+			.started_ms = executor->started_ms,
+			.draining = executor->draining,
+		};
+
+		if (executor->runs->len || now_ms < executor->leases_expire_ms)
+			each(data, &entry, executor->unlisted_since_ms != 0);
+	}
+}
+
 void waxwing_cell_unlist_executor(struct waxwing_cell *cell, int64_t now_ms, const char *id)
 {
 	struct executor *executor = g_hash_table_lookup(cell->executors_by_id, id);
--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -594,6 +594,8 @@
 	if (offer->running_before)
 		job->former_runs_until_ms =
 			now_ms + waxwing_cell_orders_expire_ms(cell->options.max_lease_ms);
+	job->of_earlier_owner = offer->running_before && !offer->job->kept &&
+				offer->former_token < cell->options.orderly_since;
 	if (job->spec->repetitions) {
 		job->occurrences = occurrences_create(job->spec);
 		job->remaining = job->total = job->spec->repetitions;
@@ -614,6 +616,7 @@
 	job->parent = parent;
 	job->issuer = parent->issuer;
 	job->former_runs_until_ms = parent->former_runs_until_ms;
+	job->of_earlier_owner = parent->of_earlier_owner;
 	job->acceptance_stored = true;
 	add_steps(job);
 	return job;
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -397,7 +397,10 @@
 	}
 }
 
-/* Returns true if all runs that former owners started are known and no more can start. */
+/*
+ * Returns true if all runs that former owners started since options.orderly_since are known and no
+ * more can start.
+ */
 static bool all_former_runs_known(const struct waxwing_cell *cell)
 {
 	if (cell->options.list_incomplete)
@@ -443,7 +446,8 @@
 		struct cell_job *job = g_sequence_get(iter);
 
 		iter = g_sequence_iter_next(iter);
-		if (!all_known && may_have_former_runs(cell, job, now_ms))
+		if ((!all_known || job->of_earlier_owner) &&
+		    may_have_former_runs(cell, job, now_ms))
 			continue;
 		for (uint32_t step = 0; step < job->spec->n_steps && job->ready_tasks; step++)
 			if (job->steps[step].unblocked)
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -102,6 +102,8 @@
 	int64_t due_ms; /* target completion time */
 	int64_t closed_ms; /* if ended: when it ended */
 	int64_t former_runs_until_ms; /* runs of former owners have ended by this time; 0: none */
+	/* an owner before those that released the cell may have started it */
+	bool of_earlier_owner;
 	uint32_t ready_tasks; /* tasks in TASK_READY */
 	uint32_t assigned_tasks; /* tasks in TASK_ASSIGNED */
 	uint32_t remaining; /* tasks, or occurrences of a repeating job, that have not completed */
--- a/src/node/cell_claim.c
+++ b/src/node/cell_claim.c
@@ -1,6 +1,6 @@
 #include "cell_claim.h"
 
-#include "generated/node.pb-c.h"
+#include "message.h"
 
 #include <stdio.h>
 
@@ -35,13 +35,15 @@
 	int64_t vacant_since_ms; /* 0: not known to be vacant */
 	/* revision of the entry that a claim replaces; 0: there is none */
 	uint64_t replaced_revision;
-	bool replaces_released; /* the replaced entry was released by its owner */
+	/* the replaced entry, if its owner released the cell; this node's own claim keeps it */
+	Waxwing__CellOwner *replaced_release;
 	int64_t next_call_ms; /* time of the next renewal or claim */
 	int64_t sent_ms; /* time at which the pending call was sent */
 	int64_t renewed_ms; /* time of the last successful request or renewal of the lease */
 	enum claim_call pending_call;
 	bool releasing;
 	uint64_t released_token; /* revision of the own entry that is being released */
+	Waxwing__CellOwner *release; /* entry that is written to release the cell; null: none yet */
 	bool leaving;
 	bool destroyed;
 };
@@ -64,8 +66,25 @@
 	return claim;
 }
 
+static void set_replaced_release(struct waxwing_cell_claim *claim, Waxwing__CellOwner *release)
+{
+	if (claim->replaced_release)
+		waxwing__cell_owner__free_unpacked(claim->replaced_release, NULL);
+	claim->replaced_release = release;
+	claim->owner.release = NULL;
+}
+
+static void set_release(struct waxwing_cell_claim *claim, Waxwing__CellOwner *release)
+{
+	if (claim->release)
+		waxwing__cell_owner__free_unpacked(claim->release, NULL);
+	claim->release = release;
+}
+
 static void claim_free(struct waxwing_cell_claim *claim)
 {
+	set_replaced_release(claim, NULL);
+	set_release(claim, NULL);
 	g_free((char *)claim->options.cell);
 	g_free((char *)claim->options.node);
 	g_free((char *)claim->options.address);
@@ -103,11 +122,12 @@
 	claim->seen_revision = revision;
 	claim->vacant_since_ms = 0;
 	claim->owner.released = false;
-	claim->owner.clean_handover = claim->replaces_released;
+	claim->owner.release = claim->replaced_release;
 	claim->replaced_revision = 0;
-	claim->replaces_released = false;
 	claim->owner.known = true;
 	claim->owner.is_self = owner->incarnation == claim->options.incarnation;
+	if (!claim->owner.is_self)
+		set_replaced_release(claim, NULL);
 	claim->owner.fencing_token = revision;
 	claim->owner.incarnation = owner->incarnation;
 	snprintf(claim->owner.address, sizeof(claim->owner.address), "%s", owner->address);
@@ -129,19 +149,23 @@
 	claim->next_call_ms = claim->vacant_since_ms + delay_ms;
 	claim->lease = 0;
 	claim->replaced_revision = 0;
-	claim->replaces_released = false;
+	set_replaced_release(claim, NULL);
 	claim->owner.known = false;
 	notify_owner_changed(claim);
 }
 
-/* The former owner has stopped sending orders and left its entry, which a claim replaces. */
-static void set_released(struct waxwing_cell_claim *claim, uint64_t revision)
+/*
+ * The former owner has stopped sending orders and left its entry, which a claim replaces. Takes
+ * ownership of @release.
+ */
+static void set_released(struct waxwing_cell_claim *claim, Waxwing__CellOwner *release,
+			 uint64_t revision)
 {
 	claim->owner.released = true;
 	set_vacant(claim, revision);
 	claim->next_call_ms += (int64_t)claim->options.released_delay_ms - claim->options.delay_ms;
 	claim->replaced_revision = revision;
-	claim->replaces_released = true;
+	claim->replaced_release = release;
 }
 
 static bool is_former_self(const struct waxwing_cell_claim *claim, const Waxwing__CellOwner *owner)
@@ -180,9 +204,11 @@
 			      item->value.len);
 		return;
 	}
-	if (owner->released)
-		set_released(claim, item->revision);
-	else if (is_former_self(claim, owner))
+	if (owner->released) {
+		set_released(claim, owner, item->revision);
+		return;
+	}
+	if (is_former_self(claim, owner))
 		set_former_self(claim, item->revision);
 	else
 		set_owner(claim, owner, item->revision);
@@ -244,21 +270,18 @@
 static void send_entry(struct waxwing_cell_claim *claim, enum claim_call call,
 		       const Waxwing__CellOwner *owner, uint64_t replaces, uint64_t lease)
 {
-	uint8_t packed[512];
 	size_t len = waxwing__cell_owner__get_packed_size(owner);
+	uint8_t *packed = g_malloc(len);
 	struct waxwing_store_put put = {
 		.key = claim->owner_key,
 		.expected_revision = replaces,
 		.lease = lease,
 	};
 
-	if (len > sizeof(packed)) {
-		log_error("The cell owner's entry does not fit into its buffer");
-		return;
-	}
 	waxwing__cell_owner__pack(owner, packed);
 	put.value = (struct waxwing_str){ len, (const char *)packed };
 	claim->options.store->ops->put(claim->options.store, &put, begin_call(claim, call));
+	g_free(packed);
 }
 
 static void send_claim(struct waxwing_cell_claim *claim)
@@ -270,12 +293,8 @@
 
 static void send_release(struct waxwing_cell_claim *claim)
 {
-	Waxwing__CellOwner owner = self_entry(claim);
-
-	owner.has_released = true;
-	owner.released = true;
 	/* never a successor's entry, which may be known by the time of another attempt */
-	send_entry(claim, CALL_RELEASE, &owner, claim->released_token, 0);
+	send_entry(claim, CALL_RELEASE, claim->release, claim->released_token, 0);
 }
 
 static void handle_claim_result(struct waxwing_cell_claim *claim,
@@ -351,8 +370,14 @@
 
 void waxwing_cell_claim_hand_over(struct waxwing_cell_claim *claim)
 {
+	Waxwing__CellOwner self = self_entry(claim);
+
 	if (!claim->owner.is_self)
 		return;
+	set_release(claim, waxwing_message_copy(&self.base));
+	claim->release->has_released = true;
+	claim->release->released = true;
+	claim->options.describe_release(claim->options.data, claim->release);
 	claim->releasing = claim->owner.known;
 	claim->released_token = claim->owner.fencing_token;
 	claim->owner.is_self = false;
--- a/src/node/cell_claim.h
+++ b/src/node/cell_claim.h
@@ -15,6 +15,7 @@
 #define WAXWING_CELL_CLAIM_H
 
 #include "clock.h"
+#include "generated/node.pb-c.h"
 #include "store.h"
 
 struct waxwing_cell_claim;
@@ -24,8 +25,11 @@
 	bool known; /**< the store holds an entry of an owner */
 	bool is_self;
 	bool released; /**< the last owner has stopped sending orders */
-	/** the previous owner had stopped sending orders before this owner took over */
-	bool clean_handover;
+	/**
+	 * what the previous owner wrote when it released the cell, before this owner took over;
+	 * null: it did not release it
+	 */
+	const Waxwing__CellOwner *release;
 	char address[64]; /**< IP:port of the owner's message socket */
 	char node[64];
 	uint64_t incarnation; /**< incarnation of the owner's process */
@@ -53,6 +57,11 @@
 	 * owner may then claim the cell again before other nodes do.
 	 */
 	bool (*owner_reachable)(void *data);
+	/**
+	 * Called when this node releases the cell, before owner_changed(). Adds to @release what its
+	 * successor must know, allocated as waxwing__cell_owner__unpack() does.
+	 */
+	void (*describe_release)(void *data, Waxwing__CellOwner *release);
 	/** Returns true once this node knows enough to serve the cell; until then it claims nothing. */
 	bool (*prepared)(void *data);
 	void *data;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -13,11 +13,6 @@
  */
 #define ENTRIES_INTERVAL_MS 400
 
-/*
- * By the platform's protocol, entries that expired while the store was down return within two
- * seconds.
- */
-#define ENTRIES_RETURN_MS 2300
 /* How long after a durable job further durable jobs are expected. */
 #define DURABLE_JOBS_RECENT_MS 10000
 
@@ -37,9 +32,6 @@
 	struct waxwing_node *node = data;
 	int64_t now_ms = node_now(node);
 
-	/* entries may have expired before this node first called the store */
-	if (!node->list_complete_ms)
-		node->list_complete_ms = now_ms + ENTRIES_RETURN_MS;
 	if (reached) {
 		node->store_reached_ms = now_ms;
 		if (node->store_lost_ms) {
@@ -51,7 +43,6 @@
 		}
 		return;
 	}
-	node->list_complete_ms = now_ms + ENTRIES_RETURN_MS;
 	if (!node->store_lost_ms) {
 		node->store_lost_ms = now_ms;
 		waxwing_event("store_lost", "reached_ms_ago=%lld",
--- a/src/node/node_cells.c
+++ b/src/node/node_cells.c
@@ -99,6 +99,7 @@
 				(uint32_t)(core_shortfall(node) * UNPREPARED_FEW_CORES_DELAY_MS),
 			.owner_changed = owner_changed,
 			.owner_reachable = owner_is_reachable,
+			.describe_release = node_release_describe,
 			.prepared = is_prepared,
 			.data = cell,
 		};
@@ -125,6 +126,7 @@
 		if (cell->issuers)
 			g_hash_table_destroy(cell->issuers);
 		waxwing_cell_claim_destroy(cell->claim);
+		node_release_forget(cell);
 		g_hash_table_destroy(cell->waiting_jobs);
 		g_free(cell->name);
 		g_free(cell);
--- a/src/node/node_entries.c
+++ b/src/node/node_entries.c
@@ -25,8 +25,10 @@
 	for (guint i = 0; i < node->cells->len; i++) {
 		struct node_cell *cell = node->cells->pdata[i];
 
-		if (cell->owned && strcmp(cell->name, entry->zone) == 0)
-			waxwing_cell_set_executor(cell->owned, node_now(node), entry);
+		if (!cell->owned || strcmp(cell->name, entry->zone) != 0)
+			continue;
+		waxwing_cell_set_executor(cell->owned, node_now(node), entry);
+		node_release_executor_found(cell, entry->id);
 	}
 	node->has_events = true;
 }
--- a/src/node/node_jobs.c
+++ b/src/node/node_jobs.c
@@ -130,6 +130,8 @@
 	/* A durable job was not started if the journal does not contain it. */
 	job_offer.has_running_before = true;
 	job_offer.running_before = pending->offered_to_former_owner && !pending->job->kept;
+	job_offer.has_former_token = job_offer.running_before;
+	job_offer.former_token = pending->former_token;
 	waxwing_event("job_offered",
 		      "job=%016llx queue=%s cell=%s token=%llu again=%d age_ms=%u wait_ms=%u "
 		      "free_milli=%u news_age_ms=%lld",
@@ -435,6 +437,8 @@
 	bool reachable = node_cell_reachable(cell, now_ms);
 
 	if (reachable && owner->fencing_token != pending->offered_token) {
+		if (!pending->offered_to_former_owner)
+			pending->former_token = pending->offered_token;
 		pending->offered_to_former_owner = true;
 		pending->may_have_run = true;
 		pending->accepted = false;
--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -360,6 +360,7 @@
 void node_owner_begin(struct node_cell *cell, uint64_t token)
 {
 	struct waxwing_node *node = cell->node;
+	const Waxwing__CellOwner *release = waxwing_cell_claim_owner(cell->claim)->release;
 	struct waxwing_cell_options options = {
 		.ops = &cell_ops,
 		.permits_available = node->options.permits != NULL,
@@ -371,6 +372,7 @@
 		.remote_data_factor = node->options.remote_data_factor,
 		.took_over = true,
 		.list_incomplete = true,
+		.orderly_since = release ? release->orderly_since : 0,
 		.recovering = true,
 		.status_ms = node->options.state_retention_ms,
 	};
@@ -382,16 +384,20 @@
 		return;
 	}
 	cell->ownership_id = node->next_ownership_id++;
-	cell->no_local_ms = node_now(node);
+	cell->first_token = token;
+	cell->taken_ms = cell->no_local_ms = node_now(node);
 	cell->owned = waxwing_cell_create(node_now(node), &options);
 	cell->journal = open_journal(cell, token);
 	cell->issuers = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	node->takeovers++;
+	node_release_adopt(cell, release);
 	node_entries_use(node);
-	cell->list_confirmed = false;
-	waxwing_event("cell_taken", "cell=%s token=%llu orderly=%d", cell->name,
-		      (unsigned long long)token,
-		      waxwing_cell_claim_owner(cell->claim)->clean_handover);
+	waxwing_event("cell_taken",
+		      "cell=%s token=%llu orderly=%d unlisted=%zu unknown=%u orderly_since=%llu",
+		      cell->name, (unsigned long long)token, cell->orderly_since != 0,
+		      release ? release->n_unlisted : 0,
+		      cell->unknown_leased ? g_hash_table_size(cell->unknown_leased) : 0,
+		      (unsigned long long)cell->orderly_since);
 }
 
 void node_owner_end(struct node_cell *cell)
@@ -413,6 +419,7 @@
 	cell->owned = NULL;
 	waxwing_journal_destroy(cell->journal);
 	cell->journal = NULL;
+	node_release_forget(cell);
 	waxwing_event("cell_given_up", "cell=%s token=%llu", cell->name,
 		      (unsigned long long)message.fencing_token);
 }
@@ -460,23 +467,6 @@
 	return issuer;
 }
 
-/*
- * After a clean handover, a list of executors that is at least as recent as this owner's entry in
- * the store contains every executor that can have orders of the former owner. After any other
- * takeover, the former owner may continue to send orders for a while.
- */
-static void confirm_executor_list(struct node_cell *cell, int64_t now_ms)
-{
-	struct waxwing_node *node = cell->node;
-	const struct waxwing_cell_owner_view *owner = waxwing_cell_claim_owner(cell->claim);
-
-	if (cell->list_confirmed || !owner->clean_handover || now_ms < node->list_complete_ms ||
-	    waxwing_store_watch_revision(node->executor_watch) < owner->fencing_token)
-		return;
-	cell->list_confirmed = true;
-	waxwing_cell_set_list_complete(cell->owned);
-}
-
 /*
  * Hands a cell of another failure domain over to a node of that domain, once there is one that has
  * stood by for a while: if the domain is isolated, its cell must have an owner inside.
@@ -513,7 +503,7 @@
 
 	if (!cell->owned || hand_back(cell, now_ms))
 		return;
-	confirm_executor_list(cell, now_ms);
+	node_release_run(cell, now_ms);
 	g_hash_table_iter_init(&iter, cell->issuers);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		check_issuer(cell, value, now_ms);
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -46,10 +46,19 @@
 	struct waxwing_journal *journal; /* null: this node is not the owner */
 	char *owner_key;
 	int64_t no_local_ms; /* when the cell's own domain last had no node that could own it */
+	uint64_t first_token; /* fencing token with which this node took the cell over */
 	uint64_t held_token; /* fencing token of this node's ownership */
 	uint64_t ownership_id; /* distinguishes answers to orders of an earlier ownership */
 	GHashTable *issuers; /* sender -> struct issuer */
-	bool list_confirmed; /* the list of executors is known to be complete */
+	int64_t taken_ms; /* when this node took the cell over */
+	/* token since which each owner has released the cell; 0: the former owner did not */
+	uint64_t orderly_since;
+	/*
+	 * hashes of the ids of executors that are not known but where former owners' leases may
+	 * last; null: there are none, or the former owner did not name them
+	 */
+	GHashTable *unknown_leased;
+	int64_t unknown_leases_expire_ms;
 	uint64_t fenced_token; /* token that an executor or the journal has reported as outdated */
 };
 
@@ -70,6 +79,7 @@
 	struct waxwing_job_waiter *waiters; /* linked by next */
 	struct node_cell *cell; /* null: no cell is chosen yet */
 	uint64_t offered_token; /* the owner's token at the last offer */
+	uint64_t former_token; /* the owner's token at the first offer to the cell */
 	int64_t arrived_ms;
 	int64_t offered_ms;
 	bool accepted;
@@ -103,8 +113,6 @@
 	uint64_t incarnation;
 	uint64_t next_ownership_id;
 	int64_t last_run_ms;
-	/* time by which executor entries that expired during a store outage have returned */
-	int64_t list_complete_ms;
 	int64_t store_reached_ms;
 	int64_t store_lost_ms; /* start of the store's outage; 0: the store answers */
 	GPtrArray *verdicts; /* struct queued_verdict, processed after the cells have run */
@@ -139,6 +147,13 @@
 void node_owner_message(struct node_cell *cell, uint64_t sender, Waxwing__NodeMessage *message);
 bool node_owner_rejects_durable_jobs(const struct node_cell *cell);
 
+/* node_release.c: what an owner that releases its cell tells its successor */
+void node_release_describe(void *data, Waxwing__CellOwner *release);
+void node_release_adopt(struct node_cell *cell, const Waxwing__CellOwner *release);
+void node_release_executor_found(struct node_cell *cell, const char *executor_id);
+void node_release_run(struct node_cell *cell, int64_t now_ms);
+void node_release_forget(struct node_cell *cell);
+
 /* node_routing.c */
 void node_routing_changed(void *data, const struct waxwing_store_item *item);
 void node_routing_run(struct waxwing_node *node, int64_t now_ms);
--- a/test/cell_fixture.h
+++ b/test/cell_fixture.h
@@ -163,6 +163,7 @@
 		.took_over = took_over,
 		.recovering = recovering,
 		.list_incomplete = recovering,
+		.orderly_since = recovering ? 3 : 0,
 		.status_ms = 120000,
 		.permits_available = true,
 	};
--- a/test/test_cell.c
+++ b/test/test_cell.c
@@ -709,6 +709,64 @@
 	tear_down(&fixture);
 }
 
+/*
+ * Guards against two runs of one task: all runs of owners that released the cell are known, but not
+ * those of an owner before them, which had lost the cell and may still serve the job's issuer.
+ */
+static void test_earlier_owner(void)
+{
+	static const uint64_t former_tokens[] = { 2, 4 };
+	static const bool waits[] = { true, false };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(former_tokens); i++) {
+		struct fixture fixture;
+		Waxwing__JobOffer *job = make_offer(8, 1, 1000, 2000, true, false);
+
+		set_up_cell(&fixture, true, true);
+		waxwing_cell_recovered(fixture.cell, fixture.now_ms);
+		waxwing_cell_set_list_complete(fixture.cell);
+		ready_executor(&fixture, "a", 16000);
+		job->has_former_token = true;
+		job->former_token = former_tokens[i];
+		waxwing_cell_offer(fixture.cell, fixture.now_ms, WAXWING_ISSUER_SELF, job);
+		advance(&fixture, 100);
+		g_assert_cmpuint(fixture.recorder.starts->len, ==, waits[i] ? 0 : 1);
+		advance(&fixture, waxwing_cell_orders_expire_ms(MAX_LEASE_MS));
+		g_assert_cmpuint(fixture.recorder.starts->len, ==, 1);
+		tear_down(&fixture);
+	}
+}
+
+/*
+ * An executor that is not in the platform's list is asked for the runs of a former owner and gets
+ * no new ones, until it is listed again.
+ */
+static void test_unlisted_executor(void)
+{
+	static const char *const labels[] = { "kind", "rack", NULL };
+	struct waxwing_executor_entry entry = { "u",	"10.0.0.2:80", "service", "zone", "kind",
+						"rack", labels,	       { 0 },	  0,	  false };
+	struct waxwing_running_run running = { .run_id = { .job = 8, .run = 1 } };
+	struct fixture fixture;
+
+	set_up_cell(&fixture, true, true);
+	waxwing_cell_recovered(fixture.cell, fixture.now_ms);
+	waxwing_cell_add_unlisted_executor(fixture.cell, fixture.now_ms, &entry);
+	waxwing_cell_set_list_complete(fixture.cell);
+	offer(&fixture, 8, 2, 1000, 2000, true);
+	waxwing_cell_advance(fixture.cell, fixture.now_ms);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 0);
+	answer_hold(&fixture, fixture.recorder.handle, &running, 1, NULL, 0);
+	advance(&fixture, 20);
+	/* task 0 runs, and no executor may start task 1 */
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 0);
+	add_executor(&fixture, "u", 16000, 0);
+	advance(&fixture, 3000);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 1);
+	g_assert_cmpuint(start_at(&fixture, 0)->run_id.index, ==, 1);
+	tear_down(&fixture);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -738,5 +796,7 @@
 	g_test_add_func("/cell/refuses_hopeless", test_refuses_late_job);
 	g_test_add_func("/cell/never_fits", test_never_fits);
 	g_test_add_func("/cell/fenced", test_fenced);
+	g_test_add_func("/cell/earlier_owner", test_earlier_owner);
+	g_test_add_func("/cell/unlisted_executor", test_unlisted_executor);
 	return g_test_run();
 }
