--- a/test/test_platform_adapter.c
+++ b/test/test_platform_adapter.c
@@ -202,6 +202,92 @@
 	g_assert_cmpint(entry_count, ==, 0);
 }
 
+/* Returns an entry whose address, capacity, start time and further member are as given. */
+static char *format_entry(const char *address, const char *cpu, const char *born, const char *more)
+{
+	return g_strdup_printf("{\"Service\":\"s\",\"Address\":\"%s\",\"Zone\":\"z\",\"State\":"
+			       "\"ready\",\"Capacity\":{\"Cpu\":%s,\"MemMb\":1,\"Gpu\":0},"
+			       "\"Labels\":[\"a\",\"r\"],\"born\":%s%s}",
+			       address, cpu, born, more);
+}
+
+static void assert_refused(char *value)
+{
+	struct waxwing_store_item item = make_item("servers/i-1", value);
+	int entry_count = 0;
+
+	if (platform_read_executor(&item, count_entry, &entry_count))
+		g_error("accepted: %.200s", value);
+	g_assert_cmpint(entry_count, ==, 0);
+	g_free(value);
+}
+
+/* Returns @depth nested arrays; without their ends if @open. */
+static char *nest(size_t depth, bool open)
+{
+	GString *text = g_string_new(NULL);
+
+	for (size_t i = 0; i < depth; i++)
+		g_string_append_c(text, '[');
+	for (size_t i = 0; i < depth && !open; i++)
+		g_string_append_c(text, ']');
+	return g_string_free(text, FALSE);
+}
+
+/*
+ * Guards against readers of the list that end, or use the entry, when another writer has left one
+ * that is deeply nested, or has a number too large or a port out of range.
+ */
+static void test_executor_entry_odd(void)
+{
+	static const char *const cpus[] = {
+		"1e400",
+		"-1e400",
+		"1e18",
+		"4294967296",
+		"9223372036854775808",
+		"18446744073709551616",
+		"99999999999999999999999999999999999999999999999999999999999999999999999999999999",
+	};
+	static const char *const borns[] = {
+		"1e400",
+		"-1",
+		"9007199254740992",
+		"9223372036854775807",
+		"18446744073709551615",
+		"18446744073709551616",
+		"99999999999999999999999999999999999999999999999999999999999999999999999999999999",
+	};
+	static const char *const addresses[] = {
+		"10.0.0.1:65536", "10.0.0.1:0",	 "10.0.0.1:-1",
+		"10.0.0.1:",	  "10.0.0.1",	 "10.0.0.1:99999999999999999999999",
+		"10.0.0.1:8o",	  "[::1]:70000", "[::1]",
+	};
+	static const size_t depths[] = { 33, 1000, 100000, 1000000 };
+	struct waxwing_store_item item = { .key = waxwing_str("servers/i-1") };
+	int entry_count = 0;
+	char *valid = format_entry("10.0.0.1:80", "4000", "1700000000000", "");
+
+	item.value = waxwing_str(valid);
+	g_assert_true(platform_read_executor(&item, count_entry, &entry_count));
+	g_free(valid);
+	for (size_t i = 0; i < G_N_ELEMENTS(cpus); i++)
+		assert_refused(format_entry("10.0.0.1:80", cpus[i], "0", ""));
+	for (size_t i = 0; i < G_N_ELEMENTS(borns); i++)
+		assert_refused(format_entry("10.0.0.1:80", "4000", borns[i], ""));
+	for (size_t i = 0; i < G_N_ELEMENTS(addresses); i++)
+		assert_refused(format_entry(addresses[i], "4000", "0", ""));
+	for (size_t i = 0; i < G_N_ELEMENTS(depths); i++) {
+		char *arrays = nest(depths[i], false);
+		char *member = g_strconcat(",\"More\":", arrays, NULL);
+
+		assert_refused(format_entry("10.0.0.1:80", "4000", "0", member));
+		assert_refused(arrays);
+		assert_refused(nest(depths[i], true));
+		g_free(member);
+	}
+}
+
 static const char routing_value[] =
 	"{\"Version\":7,\"Routes\":["
 	"{\"Name\":\"q1\",\"Host\":\"Nony24.example\",\"Prefix\":\"/lohu930/\",\"Priority\":2,"
@@ -459,6 +545,7 @@
 	g_test_add_func("/platform/settings_syntax", test_settings_syntax);
 	g_test_add_func("/platform/executor_entry", test_executor_entry);
 	g_test_add_func("/platform/executor_entry_faulty", test_executor_entry_faulty);
+	g_test_add_func("/platform/executor_entry_odd", test_executor_entry_odd);
 	g_test_add_func("/platform/routing", test_routing);
 	g_test_add_func("/platform/routing_faulty", test_routing_faulty);
 	g_test_add_func("/platform/routing_large", test_routing_large);
