An owner that is cut off notices its successor within 250 ms

Callers would have seen: a task of a durable job runs twice, or again after its end was taken note of (TWICE).

Cause: an owner that reaches neither the store nor other nodes learns of its successor from executors only, which reject its token once the successor has called them. It calls an executor while something runs there, an idle one every 5 s. Ends that it could not store kept leases alive in the same way.

Change: while the store has not confirmed the ownership for the lease of the owner's entry, and there are runs of durable jobs or ends that are not acknowledged, the owner calls each executor every 250 ms. It is then rejected within 250 ms of the successor's first calls, and its leases end before the successor's wait does. Nothing changes while the store answers.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -76,6 +76,11 @@
 	cell->options.fencing_token = MAX(cell->options.fencing_token, fencing_token);
 }
 
+void waxwing_cell_set_ownership_confirmed(struct waxwing_cell *cell, bool confirmed)
+{
+	cell->ownership_unconfirmed = !confirmed;
+}
+
 void waxwing_cell_set_list_complete(struct waxwing_cell *cell)
 {
 	cell->options.list_incomplete = false;
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -247,6 +247,14 @@
 /** Sets a higher fencing token after the same owner has claimed the cell again. */
 void waxwing_cell_set_token(struct waxwing_cell *cell, uint64_t fencing_token);
 
+/**
+ * Sets whether the store has lately confirmed that this owner still holds the cell. While it has
+ * not, and runs of durable jobs last or their ends are not acknowledged, all executors are called
+ * often: a successor, which would start these jobs again, first shows its token to the executors
+ * that it uses.
+ */
+void waxwing_cell_set_ownership_confirmed(struct waxwing_cell *cell, bool confirmed);
+
 /** Sets wall-clock time minus the caller's clock, used to schedule repeating jobs. */
 void waxwing_cell_set_wall_clock_offset(struct waxwing_cell *cell, int64_t wall_offset_ms);
 
--- a/src/cell/cell_hold.c
+++ b/src/cell/cell_hold.c
@@ -24,18 +24,43 @@
  * age, see executor_extend_lease().
  */
 #define CLOCK_REFRESH_MS 5000
+/*
+ * The same while the ownership is not confirmed and runs of durable jobs last, or their ends are not
+ * acknowledged, so that leases go on. A successor waits for
+ * waxwing_cell_orders_expire_ms() before it starts these jobs again. Within that time, this owner
+ * must be rejected by an executor that the successor uses, and its last leases must expire.
+ */
+#define UNCONFIRMED_REFRESH_MS 250
 /* How long an executor waits before it answers a hold while the leases there are not extended. */
 #define UNKNOWN_RUNS_WAIT_MS 50
 /* Weight in the circuit breaker of an unanswered hold, relative to a failed task. */
 #define NO_ANSWER_WEIGHT 1.0
 
-static bool hold_is_due(const struct executor *executor, int64_t now_ms)
+/* Returns true if executors have runs of durable jobs, or ends that were not acknowledged. */
+static bool has_durable_work(const struct waxwing_cell *cell)
+{
+	for (guint i = 0; i < cell->executors->len; i++) {
+		const struct executor *executor = cell->executors->pdata[i];
+
+		if (executor->processed_upto > executor->acked_upto)
+			return true;
+		for (guint k = 0; k < executor->runs->len; k++) {
+			const struct cell_run *run = executor->runs->pdata[k];
+
+			if (run->job && run->job->durable)
+				return true;
+		}
+	}
+	return false;
+}
+
+static bool hold_is_due(const struct executor *executor, int64_t now_ms, int64_t refresh_ms)
 {
 	if (executor->hold_in_flight || now_ms < executor->next_hold_ms)
 		return false;
 	if (executor->hold_requested || executor->runs->len || executor->unresponsive)
 		return true;
-	if (!executor->removed && now_ms - executor->hold_sent_ms >= CLOCK_REFRESH_MS)
+	if (!executor->removed && now_ms - executor->hold_sent_ms >= refresh_ms)
 		return true;
 	return executor->processed_upto > executor->acked_upto;
 }
@@ -81,10 +106,14 @@
 
 void cell_send_holds(struct waxwing_cell *cell, int64_t now_ms)
 {
+	int64_t refresh_ms = cell->ownership_unconfirmed && has_durable_work(cell) ?
+				     UNCONFIRMED_REFRESH_MS :
+				     CLOCK_REFRESH_MS;
+
 	for (guint i = 0; i < cell->executors->len; i++) {
 		struct executor *executor = cell->executors->pdata[i];
 
-		if (hold_is_due(executor, now_ms))
+		if (hold_is_due(executor, now_ms, refresh_ms))
 			send_hold(cell, executor, now_ms);
 	}
 }
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -246,6 +246,7 @@
 	bool permit_query_in_flight;
 	int64_t next_permit_query_ms;
 	int64_t wall_offset_ms; /* wall-clock time minus the caller's clock */
+	bool ownership_unconfirmed; /* the store has not confirmed it lately */
 	int64_t first_runs_listed_ms; /* when an executor first listed its runs; 0: none has */
 	int64_t last_appeared_ms; /* when an executor was last added after creation; 0: never */
 	uint64_t next_handle;
--- a/test/test_node_unlisted.c
+++ b/test/test_node_unlisted.c
@@ -12,6 +12,8 @@
 #define LONG_TASKS_MS	    4000
 #define LONG_JOBS	    6
 #define UNLISTED_FOR_MS	    6000
+/* Longer than an owner leaves an idle executor alone. */
+#define OUTLASTING_TASKS_MS 9000
 /* Less than the time for which an owner goes on using an executor that left the list. */
 #define MAX_UNLISTED_MS 1800
 /* The time that a node of the domain must have been there before it is given the cell. */
@@ -185,6 +187,33 @@
 	g_assert_cmpuint(unlisted, >, (last_seed() - first_seed()) / 2);
 }
 
+/*
+ * Guards against two runs of one durable task: an owner that reached neither the store nor other
+ * nodes had runs on unlisted executors only. It called the other ones, which had seen its successor's
+ * token, after seconds, and kept its runs alive until then.
+ */
+static void test_owner_cut_off(void)
+{
+	for (uint32_t seed = first_seed(); seed <= last_seed(); seed++) {
+		struct cluster_sim *sim = create_settled_sim(seed);
+
+		sim->durable_share = 1;
+		sim->max_work_ms = OUTLASTING_TASKS_MS;
+		submit_jobs(sim, LONG_JOBS * ARRIVAL_INTERVAL_MS);
+		sim->max_work_ms = MAX_WORK_MS;
+		for (int i = 0; i < EXECUTORS; i += ZONES)
+			if (sim->executors[i].runs->len)
+				unlist_executor(sim, &sim->executors[i]);
+		sim_run(sim, g_rand_int_range(sim->random, 0, MAX_UNLISTED_MS));
+		cut_from_store_and_nodes(sim, find_owner(sim, 0));
+		sim_run(sim, OUTLASTING_TASKS_MS);
+		repair(sim);
+		submit_jobs(sim, 1000);
+		assert_all_answered(sim);
+		sim_destroy(sim);
+	}
+}
+
 /* The cell returns from a node of another failure domain to its own. */
 static void test_hand_back(void)
 {
@@ -268,6 +297,7 @@
 	g_test_init(&argc, &argv, NULL);
 	for (size_t i = 0; i < G_N_ELEMENTS(changes); i++)
 		g_test_add_data_func(changes[i].path, &changes[i], test_owner_changes);
+	g_test_add_func("/node_unlisted/owner_cut_off", test_owner_cut_off);
 	g_test_add_func("/node_unlisted/hand_back", test_hand_back);
 	g_test_add_func("/node_unlisted/runs_adopted", test_runs_adopted);
 	return g_test_run();
