node_soak: executors that leave the list while a node leaves

The soak test on real processes did not have an executor out of the platform's list while its cell changes hands, nor runs longer than 0.4 s. Two of ten faults are now of this kind, and one job in six takes five times as long. The numbers of nodes and executors can be set by hand.

--- a/test/scripts/node_soak.sh
+++ b/test/scripts/node_soak.sh
@@ -6,8 +6,8 @@
 SEED=${WAXWING_SOAK_SEED:-1}
 FAULT_COUNT=$((${WAXWING_SOAK_S:-16} * 10 / 8)) # one every 0.8 s
 JOBS_PER_STEP=4
-NODES=4
-EXECUTORS=4
+NODES=${WAXWING_SOAK_NODES:-4}
+EXECUTORS=${WAXWING_SOAK_EXECUTORS:-4} # at least as many as nodes; at most 99
 
 # draw_random COUNT: sets RANDOM_VALUE to a pseudo-random number from 0 to COUNT - 1
 RANDOM_STATE=$SEED
@@ -24,6 +24,12 @@
 node_address() { echo "${ADDRESS%.1}.$((100 + $1))"; }
 put_key() { curl -s -o /dev/null -X PUT --data-binary "$2" "http://$STORE/control/key?Key=$1"; }
 
+# list_executor NUMBER, unlist_executor NUMBER: writes or removes the executor's entry in the platform's list
+list_executor() {
+	put_key "servers/i-$1" "{\"Service\":\"s\",\"Address\":\"$ADDRESS:$((7100 + $1))\",\"Zone\":\"$(zone_of "$1")\",\"State\":\"ready\",\"Capacity\":{\"Cpu\":16000,\"MemMb\":32768,\"Gpu\":0},\"Labels\":[\"a\",\"r1\"],\"Sequence\":1}"
+}
+unlist_executor() { curl -s -o /dev/null -X DELETE "http://$STORE/control/key?Key=servers/i-$1"; }
+
 start store "$BUILD/standin-store"
 wait_until "the store is ready" has_ready_line store
 STORE=$(sed -n 's/^ready //p' "$WORK/store.out")
@@ -32,7 +38,7 @@
 	start "x$number" "$BUILD/standin-executor" --id "i-$number" --log "$WORK/x$number.tasks"
 	wait_until "executor $number is ready" has_ready_line "x$number"
 	set -- "$@" "x$number=$ADDRESS:$((7100 + number)),$(sed -n 's/^ready //p' "$WORK/x$number.out")"
-	put_key "servers/i-$number" "{\"Service\":\"s\",\"Address\":\"$ADDRESS:$((7100 + number))\",\"Zone\":\"$(zone_of "$number")\",\"State\":\"ready\",\"Capacity\":{\"Cpu\":16000,\"MemMb\":32768,\"Gpu\":0},\"Labels\":[\"a\",\"r1\"],\"Sequence\":1}"
+	list_executor "$number"
 done
 for number in $(seq $NODES); do
 	set -- "$@" "store$number=$ADDRESS:$((7000 + number)),$STORE"
@@ -107,6 +113,8 @@
 		arrivals=$((arrivals + 1))
 		draw_random 400
 		ms=$((30 + RANDOM_VALUE))
+		draw_random 6
+		[ "$RANDOM_VALUE" -gt 0 ] || ms=$((ms * 5))
 		draw_random 3
 		tasks=$((1 + RANDOM_VALUE))
 		draw_random 2
@@ -144,21 +152,33 @@
 # link_fails NAME MODE SECONDS: sets a link of the relay to MODE for that long
 link_fails() { set_link "to=$1&$2" && sleep "$3" && set_link "to=$1&mode=open"; }
 
+# stop_node NUMBER SIGNAL: the main loop starts the node again once it has ended
+stop_node() { kill "-$2" "$(pid_of "node$1")" 2>/dev/null && : >"$WORK/restart$1"; }
+# unlist_and_stop NUMBER SECONDS: an executor does not reach the store while a node of its failure domain leaves
+unlist_and_stop() {
+	unlist_executor "$1"
+	sleep "$2"
+	stop_node "$1" TERM
+	sleep 2
+	list_executor "$1"
+}
+
 inject_fault() {
 	draw_random $NODES
 	target=$((1 + RANDOM_VALUE))
 	draw_pause 300 2400
-	draw_random 8
+	draw_random 10
 	echo "fault $RANDOM_VALUE at $target for $PAUSE s" >>"$WORK/faults"
 	case $RANDOM_VALUE in
-	0) kill -KILL "$(pid_of node$target)" 2>/dev/null && : >"$WORK/restart$target" ;;
+	0) stop_node $target KILL ;;
 	1) in_background freeze_process "$(pid_of node$target)" "$PAUSE" 2>/dev/null ;;
-	2) kill "$(pid_of node$target)" 2>/dev/null && : >"$WORK/restart$target" ;;
+	2) stop_node $target TERM ;;
 	3) in_background store_refuses "$PAUSE" ;;
 	4) in_background link_fails "store$target" mode=hang "$PAUSE" ;;
 	5) in_background link_fails "x$target" mode=hang "$PAUSE" ;;
 	6) in_background link_fails "x$target" "mode=open&delay_ms=120" "$PAUSE" ;;
 	7) curl -s -o /dev/null -X DELETE "http://$STORE/control/key?Key=cells/$(zone_of $target)" ;;
+	8 | 9) in_background unlist_and_stop $target "$PAUSE" ;;
 	esac
 }
 
@@ -177,7 +197,7 @@
 for pid in $BACKGROUND_PIDS; do wait "$pid" 2>/dev/null || :; done
 
 # Executor events in order of time; at the same millisecond an end sorts before a start.
-cat "$WORK"/x?.tasks | sed 's/@\([0-9]*\)$/\1/' | awk '{ print $NF, ($1 == "start"), $0 }' |
+cat "$WORK"/x[0-9]*.tasks | sed 's/@\([0-9]*\)$/\1/' | awk '{ print $NF, ($1 == "start"), $0 }' |
 	sort -k1,1n -k2,2n -s | cut -d' ' -f3- >"$WORK/history"
 awk '
 	FILENAME ~ /callers$/ { told[$1] = $2; kept[$1] = $3 == "kept"; next }
