A run whose end is not listed yet has not lapsed

Cause: an executor lists 500 ends at a time. A run that is in neither of its lists was taken for lapsed, and a new owner took the first 500 ends of its predecessor's runs for all of them.

Change: the adapter says when there may be more ends than are listed. Such a list ends no run, and does not tell a new owner that it knows all former runs; it starts none of their tasks until it has read the rest. What an owner lets gather is bounded: an executor with 250 ends whose records are not stored gets no more runs of durable jobs, with 400 none at all.

Shown by: /cell/lists/ends_beyond_list, ends_gather and successor_reads_all_ends.

--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -117,6 +117,8 @@
 	size_t running_count;
 	const struct waxwing_ended_run *ended;
 	size_t ended_count;
+	/** there may be more ends, which are listed once these are acknowledged */
+	bool ends_truncated;
 };
 
 /** Destination of an order; valid during the call. */
--- a/src/cell/cell_executor.c
+++ b/src/cell/cell_executor.c
@@ -13,6 +13,12 @@
 /* No task starts on an executor whose leases may only be extended by less than this. */
 #define MIN_START_LEASE_MS 300
 
+/*
+ * An executor with this many ends whose records are not stored gets no more runs at all: their ends
+ * would not be listed.
+ */
+#define MAX_PENDING_ENDS 400
+
 void executor_free(struct executor *executor)
 {
 	g_ptr_array_free(executor->runs, TRUE);
@@ -40,6 +46,8 @@
 	if (executor->draining || executor->removed || !executor->answered ||
 	    executor->unresponsive)
 		return false;
+	if (executor->pending_acks->len >= MAX_PENDING_ENDS)
+		return false;
 	if (executor->unknown_runs || executor->backoff_until_ms > now_ms ||
 	    executor->lease_ms < MIN_START_LEASE_MS)
 		return false;
--- a/src/cell/cell_hold.c
+++ b/src/cell/cell_hold.c
@@ -227,11 +227,14 @@
 		handle_ended(cell, executor, now_ms, &answer->ended[i]);
 	for (size_t i = 0; i < answer->running_count; i++)
 		handle_running(cell, executor, now_ms, &answer->running[i]);
-	end_missing_runs(cell, executor, now_ms, answer);
+	/* a run that neither list contains may have ended */
+	executor->ends_truncated = answer->ends_truncated;
+	if (!answer->ends_truncated)
+		end_missing_runs(cell, executor, now_ms, answer);
 	update_ackable_ends(cell, executor);
 	executor->next_hold_ms = now_ms + (executor->pending_acks->len ? STORE_WAIT_MS : 0);
 	executor->last_answer_ms = now_ms;
-	executor->runs_listed = !cell->options.recovering;
+	executor->runs_listed |= !cell->options.recovering && !answer->ends_truncated;
 	if (executor->runs_listed && !cell->first_runs_listed_ms)
 		cell->first_runs_listed_ms = now_ms;
 	if (cell->options.recovering && answer->ended_count)
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -27,6 +27,12 @@
  */
 #define EXECUTOR_ENTRIES_WAIT_MS 2500
 
+/*
+ * An executor with this many ends whose records are not stored gets no more runs of durable jobs.
+ * It lists 500 ends at a time, and later ones only once these are acknowledged.
+ */
+#define MAX_PENDING_ENDS_DURABLE 250
+
 static bool fits(const struct executor *executor, const struct waxwing_capacity *needs)
 {
 	return executor->allocated.cpu_milli + needs->cpu_milli <= executor->capacity.cpu_milli &&
@@ -109,6 +115,8 @@
 		return false;
 	if (!permits_allow(job, step, executor) || !backfill_allowed(executor, spec))
 		return false;
+	if (job->durable && executor->pending_acks->len >= MAX_PENDING_ENDS_DURABLE)
+		return false;
 	return !spec->anti_affinity || runs_of_step(executor, job, step) < spec->anti_affinity;
 }
 
@@ -414,6 +422,18 @@
 	return true;
 }
 
+/* Returns true if an executor may have ends that it has not listed yet. */
+static bool has_hidden_ends(const struct waxwing_cell *cell)
+{
+	for (guint i = 0; i < cell->executors->len; i++) {
+		const struct executor *executor = cell->executors->pdata[i];
+
+		if (executor->ends_truncated && !executor->unresponsive)
+			return true;
+	}
+	return false;
+}
+
 /*
  * Returns true while a former owner may have started runs of the job that this owner does not know
  * yet, whether they are running or have ended. After a network partition, executors return to the
@@ -424,7 +444,7 @@
 {
 	if (!job->former_runs_until_ms)
 		return false;
-	return now_ms < job->former_runs_until_ms ||
+	return now_ms < job->former_runs_until_ms || has_hidden_ends(cell) ||
 	       now_ms - cell->first_runs_listed_ms < EXECUTOR_LISTS_WAIT_MS ||
 	       (cell->last_appeared_ms &&
 		now_ms - cell->last_appeared_ms < EXECUTOR_ENTRIES_WAIT_MS);
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -169,7 +169,8 @@
 	bool hold_in_flight;
 	bool hold_requested; /* a hold is needed even if nothing runs there */
 	bool answered; /* has answered a hold */
-	bool runs_listed; /* has listed its runs since the journal was replayed */
+	bool runs_listed; /* has listed its runs and ends since the journal was replayed */
+	bool ends_truncated; /* the last list may not have contained all ends */
 	bool unresponsive; /* the last hold was not answered */
 	int64_t hold_sent_ms;
 	int64_t next_hold_ms; /* earliest time of the next hold */
