A task may start again where it failed, after a second

Cause: a task never started on the executor where it had failed last, until it failed on another one. With no other one in the cell that has the label, the rack or the service, it waited for ever. The same for long-running tasks and gangs.

Change: a task avoids that executor for 1 s; after that, it prefers any other one.

Shown by: /cell/stuck/failed_on_only_executor/task, lasting and gang, which failed before (1 start instead of 2); /cell/stuck/failed_prefers_other passed before, too.

--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -14,6 +14,8 @@
  */
 #define SUSPECT_FAILURE_SHARE 0.5
 #define SUSPECT_MIN_OUTCOMES  2.0
+/* How long a task that failed waits for other executors before it may start on the same one. */
+#define FAILED_EXECUTOR_AVOID_MS 1000
 /* How long a verdict is repeated to issuers that offer the job again. */
 #define VERDICT_CACHE_MS 6000
 /* Maximum time from an issuer's offer to the owner. */
@@ -475,6 +477,14 @@
 /*
  * If the lease of the failed run was assumed to have expired, the task may have another run by now.
  */
+/* Makes the task prefer other executors, which it waits for only for a while. */
+void task_failed_on(struct task *task, const struct executor *executor, int64_t now_ms)
+{
+	g_free(task->last_failed_on);
+	task->last_failed_on = g_strdup(executor->id);
+	task->avoid_until_ms = now_ms + FAILED_EXECUTOR_AVOID_MS;
+}
+
 void job_run_failed(struct waxwing_cell *cell, struct cell_job *job,
 		    const struct waxwing_run_id *id, const struct executor *executor,
 		    int64_t now_ms)
@@ -485,8 +495,7 @@
 	if (task->state == TASK_DONE || job->ended || job->steps[id->step].spec->long_running)
 		return;
 	store_failure(cell, job, id);
-	g_free(task->last_failed_on);
-	task->last_failed_on = g_strdup(executor->id);
+	task_failed_on(task, executor, now_ms);
 	if (!job->durable && is_suspect(executor))
 		max_failures += EXTRA_FAILURES_ALLOWED;
 	if (task_failures(failure_task(job, id)) < max_failures) {
--- a/src/cell/cell_long_running.c
+++ b/src/cell/cell_long_running.c
@@ -11,10 +11,8 @@
 {
 	struct task *task = run_task(run);
 
-	if (end == WAXWING_RUN_FAILED) {
-		g_free(task->last_failed_on);
-		task->last_failed_on = g_strdup(run->executor->id);
-	}
+	if (end == WAXWING_RUN_FAILED)
+		task_failed_on(task, run->executor, now_ms);
 	if (now_ms - run->started_ms < SHORT_RUN_MS)
 		task->not_before_ms = now_ms + RESTART_DELAY_MS;
 	job_task_ready(cell, run->job, run->id.step, run->id.index);
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -16,6 +16,8 @@
  * picked last.
  */
 #define PREEMPTION_SPEED_FACTOR 0.1
+/* The same for an executor where the task failed last. */
+#define FAILED_SPEED_FACTOR 0.05
 /*
  * After a network partition, reachable executors list their runs within this time of the
  * first list: they are polled every 200 ms, and an answer takes time.
@@ -162,15 +164,19 @@
 	for (guint i = 0; i < cell->executors->len; i++) {
 		struct executor *executor = cell->executors->pdata[i];
 		double executor_speed;
+		bool failed;
 
 		if (!fits(executor, &needs) || !executor_usable(executor, now_ms) ||
 		    !is_allowed(executor, job, step))
 			continue;
 		if (!executor_lease_suits(cell, executor, job, now_ms))
 			continue;
-		if (task->last_failed_on && strcmp(task->last_failed_on, executor->id) == 0)
+		failed = task->last_failed_on && strcmp(task->last_failed_on, executor->id) == 0;
+		if (failed && now_ms < task->avoid_until_ms)
 			continue;
 		executor_speed = speed_for(cell, executor, &job->steps[step]);
+		if (failed)
+			executor_speed *= FAILED_SPEED_FACTOR;
 		if (best && executor_speed < best_speed * (1 - SPEED_TOLERANCE))
 			continue;
 		if (best && executor_speed < best_speed * (1 + SPEED_TOLERANCE) &&
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -49,6 +49,7 @@
 	int64_t not_before_ms; /* earliest time of the next start */
 	char *checkpoint; /* last one that a run saved; null: none */
 	char *last_failed_on; /* id of the executor where a run failed last; null: none */
+	int64_t avoid_until_ms; /* until then, the task does not start on that executor */
 };
 
 struct cell_step {
@@ -318,6 +319,7 @@
 		    int64_t now_ms);
 bool task_add_failure(struct task *task, uint32_t run); /* false: already counted */
 uint32_t task_failures(const struct task *task);
+void task_failed_on(struct task *task, const struct executor *executor, int64_t now_ms);
 void job_end(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms,
 	     enum waxwing_job_outcome outcome, enum waxwing_error_code reason,
 	     uint32_t retry_after_ms);
