Executors are reserved for a gang only if all members get one

Cause: a gang that has waited for 300 ms reserves executors one after the other until no more is to be had, even if they are not enough, and jobs that are served after it get none of them. The reservations had no limit of time, either: if a run on one of the executors does not end, the others stay idle.

Change: executors are reserved for all members or for none, for 5 s at a time, with 5 s in between for other jobs.

Shown by: /cell/stuck/gang_too_wide and gang_waits_for_run, which failed before; /cell/stuck/gang_not_starved, which passed before, too: a gang that can be placed starts although smaller jobs keep 78% of the executors' cores in use.

--- a/src/cell/cell_gang.c
+++ b/src/cell/cell_gang.c
@@ -5,6 +5,11 @@
 
 /* A gang that has waited this long for capacity gets executors reserved as other runs end. */
 #define GANG_RESERVE_AFTER_MS 300
+/*
+ * How long executors are reserved at a time. If a run does not end, other jobs get the executors for
+ * as long before they are reserved again.
+ */
+#define GANG_RESERVE_MS 5000
 
 void gang_stop(struct waxwing_cell *cell, struct cell_job *job, uint32_t step, int64_t now_ms)
 {
@@ -64,18 +69,30 @@
 	return runs;
 }
 
+/* Reserves executors for all members, or none: a gang that cannot be placed must not hold any. */
 static void reserve_executors(struct waxwing_cell *cell, const struct cell_job *job, uint32_t step,
 			      int64_t now_ms)
 {
 	uint32_t left = job->steps[step].spec->count;
+	uint32_t reserved = 1;
 
-	while (left) {
-		uint32_t reserved = reserve_executor(cell, job, step, now_ms);
-
-		if (!reserved)
-			return;
+	while (left && reserved) {
+		reserved = reserve_executor(cell, job, step, now_ms);
 		left -= MIN(left, reserved);
 	}
+	for (guint i = 0; left && i < cell->executors->len; i++) {
+		struct executor *executor = cell->executors->pdata[i];
+
+		if (executor->reserved_for == job)
+			executor->reserved_for = NULL;
+	}
+}
+
+static bool may_reserve(const struct cell_job *job, int64_t now_ms)
+{
+	int64_t waited_ms = now_ms - job->arrived_ms - GANG_RESERVE_AFTER_MS;
+
+	return waited_ms >= 0 && waited_ms / GANG_RESERVE_MS % 2 == 0;
 }
 
 /* Allocates on a single rack if required, until the job is past its due time; then on any racks. */
@@ -107,7 +124,7 @@
 	runs = allocate_on_racks(cell, job, step, now_ms);
 	if (!runs) {
 		permits_request(cell, job, step, now_ms);
-		if (now_ms - job->arrived_ms >= GANG_RESERVE_AFTER_MS)
+		if (may_reserve(job, now_ms))
 			reserve_executors(cell, job, step, now_ms);
 		return;
 	}
