A release names fewer executors; the real speed of a retried executor

Two corrections found on reading the changes again, before anything was released:

- A release named each executor where a lease lasts, also idle ones, so that a handover right after executors had left waited up to a second for nothing.
Now it names those with runs, and those that have not listed their runs yet.
- pick_executor() returned the lowered speed of an executor where the task had failed; a task could have waited for another run to end there. /cell/stuck/failed_on_busy_executor passes with and without this.

--- a/src/cell/cell_executor.c
+++ b/src/cell/cell_executor.c
@@ -348,7 +348,9 @@
 			.draining = executor->draining,
 		};
 
-		if (executor->runs->len || now_ms < executor->leases_expire_ms)
+		/* former owners' runs are not known before it has listed its runs */
+		if (executor->runs->len ||
+		    (!executor->runs_listed && now_ms < executor->leases_expire_ms))
 			each(data, &entry, executor->unlisted_since_ms != 0);
 	}
 }
--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -474,9 +474,6 @@
 	durable_task_failed(cell, job, &stored);
 }
 
-/*
- * If the lease of the failed run was assumed to have expired, the task may have another run by now.
- */
 /* Makes the task prefer other executors, which it waits for only for a while. */
 void task_failed_on(struct task *task, const struct executor *executor, int64_t now_ms)
 {
@@ -485,6 +482,9 @@
 	task->avoid_until_ms = now_ms + FAILED_EXECUTOR_AVOID_MS;
 }
 
+/*
+ * If the lease of the failed run was assumed to have expired, the task may have another run by now.
+ */
 void job_run_failed(struct waxwing_cell *cell, struct cell_job *job,
 		    const struct waxwing_run_id *id, const struct executor *executor,
 		    int64_t now_ms)
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -159,7 +159,7 @@
 	const Waxwing__JobStep *spec = job->steps[step].spec;
 	struct waxwing_capacity needs = step_needs(spec);
 	struct executor *best = NULL;
-	double best_speed = 0;
+	double best_speed = 0; /* reduced if the task failed there */
 
 	for (guint i = 0; i < cell->executors->len; i++) {
 		struct executor *executor = cell->executors->pdata[i];
@@ -185,7 +185,7 @@
 		best = executor;
 		best_speed = executor_speed;
 	}
-	*speed = best_speed;
+	*speed = best ? speed_for(cell, best, &job->steps[step]) : 0;
 	return best;
 }
 
--- a/test/test_cell_stuck.c
+++ b/test/test_cell_stuck.c
@@ -44,6 +44,39 @@
 	tear_down(&fixture);
 }
 
+/* The same, while another job has a run on that executor, for whose end the task must not wait. */
+static void test_failed_on_busy_executor(void)
+{
+	struct fixture fixture;
+	struct waxwing_running_run other;
+	struct waxwing_ended_run failed = { .number = 1, .end = WAXWING_RUN_FAILED };
+	uint64_t handle;
+
+	set_up(&fixture, false);
+	handle = ready_executor(&fixture, "a", 16000);
+	offer_job(&fixture, 1, 1, 1000, 2000, false, true);
+	store_all_records(&fixture);
+	advance(&fixture, 10);
+	offer_job(&fixture, 2, 1, 1000, 4000, false, true);
+	store_all_records(&fixture);
+	advance(&fixture, 10);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 2);
+	answer_started(&fixture, 0);
+	answer_started(&fixture, 1);
+	other = (struct waxwing_running_run){ start_at(&fixture, 0)->run_id, NULL };
+	failed.run_id = start_at(&fixture, 1)->run_id;
+	advance(&fixture, 500);
+	answer_hold(&fixture, handle, &other, 1, &failed, 1);
+	for (int i = 0; i < 12; i++) {
+		store_all_records(&fixture);
+		advance(&fixture, 100);
+		if (fixture.recorder.starts->len == 2)
+			answer_hold(&fixture, handle, &other, 1, NULL, 0);
+	}
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 3);
+	tear_down(&fixture);
+}
+
 /* A task that failed starts on another executor, even if it is slower or gets free a little later. */
 static void test_failed_prefers_other(void)
 {
@@ -245,6 +278,7 @@
 			     test_failed_on_only_executor);
 	g_test_add_data_func("/cell/stuck/failed_on_only_executor/gang", "gang",
 			     test_failed_on_only_executor);
+	g_test_add_func("/cell/stuck/failed_on_busy_executor", test_failed_on_busy_executor);
 	g_test_add_func("/cell/stuck/failed_prefers_other", test_failed_prefers_other);
 	g_test_add_func("/cell/stuck/gang_too_wide", test_gang_too_wide);
 	g_test_add_func("/cell/stuck/gang_waits_for_run", test_gang_waits_for_run);
