--- a/test/test_cell_stuck.c
+++ b/test/test_cell_stuck.c
@@ -33,7 +33,8 @@
 	for (guint failures = 1; failures <= 2; failures++) {
 		g_assert_cmpuint(fixture.recorder.starts->len, ==, failures);
 		fail_run(&fixture, handle, failures - 1, failures);
-		for (int i = 0; i < 30; i++) {
+		/* no task may wait for 3 s while an executor that can run it is idle */
+		for (int i = 0; i < 29; i++) {
 			store_all_records(&fixture);
 			advance(&fixture, 100);
 			if (fixture.recorder.starts->len == failures)
@@ -54,10 +55,10 @@
 
 	set_up(&fixture, false);
 	handle = ready_executor(&fixture, "a", 16000);
-	offer_job(&fixture, 1, 1, 1000, 2000, false, true);
+	offer_job(&fixture, 1, 1, 1000, 4000, false, true);
 	store_all_records(&fixture);
 	advance(&fixture, 10);
-	offer_job(&fixture, 2, 1, 1000, 4000, false, true);
+	offer_job(&fixture, 2, 1, 1000, 8000, false, true);
 	store_all_records(&fixture);
 	advance(&fixture, 10);
 	g_assert_cmpuint(fixture.recorder.starts->len, ==, 2);
@@ -67,7 +68,7 @@
 	failed.run_id = start_at(&fixture, 1)->run_id;
 	advance(&fixture, 500);
 	answer_hold(&fixture, handle, &other, 1, &failed, 1);
-	for (int i = 0; i < 12; i++) {
+	for (int i = 0; i < 27; i++) {
 		store_all_records(&fixture);
 		advance(&fixture, 100);
 		if (fixture.recorder.starts->len == 2)
