--- a/src/cell/cell_executor.c
+++ b/src/cell/cell_executor.c
@@ -14,8 +14,8 @@
 #define MIN_START_LEASE_MS 300
 
 /*
- * An executor with this many ends whose records are not stored gets no more runs at all: their ends
- * would not be listed.
+ * An executor with this many ends whose records are not stored gets no more runs. It lists 500 ends
+ * at a time; the rest is for runs that are in progress.
  */
 #define MAX_PENDING_ENDS 400
 
--- a/src/cell/cell_hold.c
+++ b/src/cell/cell_hold.c
@@ -25,10 +25,9 @@
  */
 #define CLOCK_REFRESH_MS 5000
 /*
- * The same while the ownership is not confirmed and runs of durable jobs last, or their ends are not
- * acknowledged, so that leases go on. A successor waits for
- * waxwing_cell_orders_expire_ms() before it starts these jobs again. Within that time, this owner
- * must be rejected by an executor that the successor uses, and its last leases must expire.
+ * The same while the ownership is not confirmed and has_durable_work(). A successor starts durable
+ * jobs again after waxwing_cell_orders_expire_ms(). By then, this owner must have been rejected by
+ * an executor that the successor uses, and its last leases must have expired.
  */
 #define UNCONFIRMED_REFRESH_MS 250
 /* How long an executor waits before it answers a hold while the leases there are not extended. */
--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -14,7 +14,10 @@
  */
 #define SUSPECT_FAILURE_SHARE 0.5
 #define SUSPECT_MIN_OUTCOMES  2.0
-/* How long a task that failed waits for other executors before it may start on the same one. */
+/*
+ * How long a task that failed waits for other executors before it may start on the same one. Shorter
+ * than the 3 s after which users count a waiting task as lost.
+ */
 #define FAILED_EXECUTOR_AVOID_MS 2500
 /* How long a verdict is repeated to issuers that offer the job again. */
 #define VERDICT_CACHE_MS 6000
--- a/src/node/node_release.c
+++ b/src/node/node_release.c
@@ -8,7 +8,10 @@
 
 #include <xxhash.h>
 
-/* Maximum number of unlisted executors that a release describes, to bound its size. */
+/*
+ * Maximum number of unlisted executors that a release describes, to bound its size. The successor
+ * waits for the leases on the others to expire.
+ */
 #define MAX_UNLISTED_ROWS 200
 
 struct leased_list {
@@ -112,8 +115,8 @@
 }
 
 /*
- * Makes the cell know of the executors where the former owner's leases may last. Those that neither
- * the platform's list nor the release describes cannot be asked for their runs.
+ * Adds the executors that the release describes to the cell, and records those that it only names.
+ * Call node_entries_use() next, which finds the named ones that are in the platform's list.
  */
 void node_release_adopt(struct node_cell *cell, const Waxwing__CellOwner *release)
 {
