An owner that claims its cell again reads who owned it in between

Cause: an owner whose entry was removed keeps its state and claims the cell again; the claim only requires that there is no entry now. Another node may have owned the cell and accepted jobs meanwhile. handle_claim_result() took the claim's revision as seen, so the watch's events of that node were passed over. The same happened without a one-way cut when the store had dropped its history: the watch then reports the current entries only.

Change: while the node still has state of an earlier ownership, the claim takes effect only when the watch delivers the own entry; entries are delivered in order, so another owner's entry ends the ownership first. If the history is lost, the node gives up the cell unless its entry stands unchanged. Other nodes' reports of this node's own entry are ignored. A claim that takes effect on a leaving node is released at once.

--- a/src/node/cell_claim.c
+++ b/src/node/cell_claim.c
@@ -33,6 +33,12 @@
 	uint64_t seen_revision; /* revision of the last entry or deletion seen */
 	uint64_t lease; /* 0: none */
 	int64_t vacant_since_ms; /* 0: not known to be vacant */
+	/*
+	 * revision of an own entry that the watch has not delivered yet, while this node still has
+	 * its state of an earlier ownership; 0: there is none
+	 */
+	uint64_t unconfirmed_revision;
+	bool history_lost; /* changes after seen_revision may have been missed */
 	/* revision of the entry that a claim replaces; 0: there is none */
 	uint64_t replaced_revision;
 	/* the replaced entry, if its owner released the cell; this node's own claim keeps it */
@@ -116,10 +122,25 @@
 	claim->options.owner_changed(claim->options.data, &claim->owner);
 }
 
+/*
+ * Ends this node's ownership. Another node may have owned the cell meanwhile, or does, so nothing
+ * that this node knows of the cell holds any more.
+ */
+static void end_ownership(struct waxwing_cell_claim *claim)
+{
+	if (!claim->owner.is_self)
+		return;
+	claim->owner.is_self = false;
+	claim->owner.known = false;
+	notify_owner_changed(claim);
+}
+
 static void set_owner(struct waxwing_cell_claim *claim, const Waxwing__CellOwner *owner,
 		      uint64_t revision)
 {
 	claim->seen_revision = revision;
+	if (revision >= claim->unconfirmed_revision)
+		claim->unconfirmed_revision = 0;
 	claim->vacant_since_ms = 0;
 	claim->owner.released = false;
 	claim->owner.release = claim->replaced_release;
@@ -137,7 +158,10 @@
 	notify_owner_changed(claim);
 }
 
-/* An owner whose entry was removed keeps the cell and claims it again without delay. */
+/*
+ * An owner whose entry was removed keeps the cell and claims it again without delay. Its state
+ * holds only if no other node owns the cell meanwhile, see await_own_entry().
+ */
 static void set_vacant(struct waxwing_cell_claim *claim, uint64_t revision)
 {
 	int64_t delay_ms = claim->owner.is_self ? 0 : claim->options.delay_ms;
@@ -146,8 +170,12 @@
 		delay_ms += claim->options.unprepared_delay_ms;
 	claim->seen_revision = revision;
 	claim->vacant_since_ms = now(claim);
-	claim->next_call_ms = claim->vacant_since_ms + delay_ms;
-	claim->lease = 0;
+	/* an entry that this node stored after this revision still needs its lease */
+	if (revision >= claim->unconfirmed_revision) {
+		claim->unconfirmed_revision = 0;
+		claim->lease = 0;
+		claim->next_call_ms = claim->vacant_since_ms + delay_ms;
+	}
 	claim->replaced_revision = 0;
 	set_replaced_release(claim, NULL);
 	claim->owner.known = false;
@@ -168,6 +196,17 @@
 	claim->replaced_release = release;
 }
 
+static void begin_release(struct waxwing_cell_claim *claim, uint64_t token);
+
+/* A claim of this node took effect after the node had started to leave. */
+static void release_late_claim(struct waxwing_cell_claim *claim, uint64_t revision)
+{
+	claim->seen_revision = revision;
+	claim->unconfirmed_revision = 0;
+	claim->releasing = true;
+	begin_release(claim, revision);
+}
+
 static bool is_former_self(const struct waxwing_cell_claim *claim, const Waxwing__CellOwner *owner)
 {
 	return owner->incarnation != claim->options.incarnation &&
@@ -193,6 +232,8 @@
 
 	if (item->revision <= claim->seen_revision)
 		return;
+	if (claim->history_lost)
+		end_ownership(claim);
 	if (item->deleted) {
 		set_vacant(claim, item->revision);
 		return;
@@ -210,6 +251,8 @@
 	}
 	if (is_former_self(claim, owner))
 		set_former_self(claim, item->revision);
+	else if (claim->leaving && owner->incarnation == claim->options.incarnation)
+		release_late_claim(claim, item->revision);
 	else
 		set_owner(claim, owner, item->revision);
 	waxwing__cell_owner__free_unpacked(owner, NULL);
@@ -220,7 +263,8 @@
 {
 	Waxwing__CellOwner owner = WAXWING__CELL_OWNER__INIT;
 
-	if (revision <= claim->seen_revision)
+	/* of this node's own claims, only the watch shows what came before */
+	if (revision <= claim->seen_revision || incarnation == claim->options.incarnation)
 		return;
 	owner.node = (char *)node;
 	owner.address = (char *)address;
@@ -234,17 +278,26 @@
 		set_vacant(claim, claim->seen_revision);
 }
 
+void waxwing_cell_claim_set_history_lost(struct waxwing_cell_claim *claim, bool lost)
+{
+	claim->history_lost = lost;
+	if (!lost || claim->owner.known)
+		return;
+	/* an own entry that the range contains is found there, or the next claim meets it */
+	claim->unconfirmed_revision = 0;
+	end_ownership(claim);
+}
+
 void waxwing_cell_claim_set_fenced(struct waxwing_cell_claim *claim)
 {
 	if (!claim->owner.is_self)
 		return;
-	claim->owner.is_self = false;
-	claim->owner.known = false;
 	claim->owner.released = true;
 	claim->lease = 0;
+	claim->unconfirmed_revision = 0;
 	/* The watch delivers the successor's entry or, if there is none, the deletion. */
 	claim->next_call_ms = INT64_MAX;
-	notify_owner_changed(claim);
+	end_ownership(claim);
 }
 
 static Waxwing__CellOwner self_entry(const struct waxwing_cell_claim *claim)
@@ -297,13 +350,29 @@
 	send_entry(claim, CALL_RELEASE, claim->release, claim->released_token, 0);
 }
 
+/*
+ * An owner whose entry was removed and stored again goes on with its state only if no other node
+ * owned the cell in between. The watch delivers all entries in order, so the own one comes last.
+ */
+static void await_own_entry(struct waxwing_cell_claim *claim, uint64_t revision)
+{
+	waxwing_event("cell_claimed_again", "cell=%s token=%llu revision=%llu", claim->options.cell,
+		      (unsigned long long)claim->owner.fencing_token, (unsigned long long)revision);
+	claim->unconfirmed_revision = revision;
+	claim->next_call_ms = now(claim) + claim->options.ttl_ms / RENEWALS_PER_TTL;
+	claim->options.read_owners(claim->options.data);
+}
+
 static void handle_claim_result(struct waxwing_cell_claim *claim,
 				const struct waxwing_store_answer *answer)
 {
 	Waxwing__CellOwner owner = self_entry(claim);
 
 	claim->next_call_ms = now(claim) + CLAIM_RETRY_MS;
-	if (answer->status == WAXWING_STORE_OK && answer->revision > claim->seen_revision)
+	if (answer->status == WAXWING_STORE_OK && answer->revision > claim->seen_revision &&
+	    claim->owner.is_self)
+		await_own_entry(claim, answer->revision);
+	else if (answer->status == WAXWING_STORE_OK && answer->revision > claim->seen_revision)
 		set_owner(claim, &owner, answer->revision);
 	else if (answer->status == WAXWING_STORE_NOT_FOUND)
 		claim->lease = 0;
@@ -368,18 +437,24 @@
 	waxwing_cell_claim_hand_over(claim);
 }
 
-void waxwing_cell_claim_hand_over(struct waxwing_cell_claim *claim)
+/* Prepares the entry that replaces the own one at revision @token. */
+static void begin_release(struct waxwing_cell_claim *claim, uint64_t token)
 {
 	Waxwing__CellOwner self = self_entry(claim);
 
-	if (!claim->owner.is_self)
-		return;
 	set_release(claim, waxwing_message_copy(&self.base));
 	claim->release->has_released = true;
 	claim->release->released = true;
 	claim->options.describe_release(claim->options.data, claim->release);
+	claim->released_token = token;
+}
+
+void waxwing_cell_claim_hand_over(struct waxwing_cell_claim *claim)
+{
+	if (!claim->owner.is_self)
+		return;
+	begin_release(claim, claim->owner.fencing_token);
 	claim->releasing = claim->owner.known;
-	claim->released_token = claim->owner.fencing_token;
 	claim->owner.is_self = false;
 	notify_owner_changed(claim);
 }
@@ -412,8 +487,11 @@
 		return;
 	if (now(claim) < claim->next_call_ms || yields_to_owner(claim))
 		return;
-	if (claim->owner.known && claim->owner.is_self && claim->lease)
+	if (claim->lease &&
+	    (claim->unconfirmed_revision || (claim->owner.known && claim->owner.is_self)))
 		store->ops->renew_lease(store, claim->lease, begin_call(claim, CALL_RENEW_LEASE));
+	else if (claim->unconfirmed_revision)
+		return;
 	else if (!claim->owner.known && claim->vacant_since_ms && !claim->lease)
 		store->ops->grant_lease(store, claim->options.ttl_ms,
 					begin_call(claim, CALL_GRANT_LEASE));
--- a/src/node/cell_claim.h
+++ b/src/node/cell_claim.h
@@ -6,6 +6,8 @@
  * fencing token. When the entry disappears, each node waits for its own delay and then claims the
  * cell; the store accepts only one claim. While the store is unreachable, the owner keeps the cell
  * until it learns of a successor, from the store or from an executor that has seen a higher token.
+ * If its entry was removed, the owner claims the cell again, and goes on with what it knows only if
+ * the store's history shows that no other node owned the cell in between.
  *
  * A node that finds an entry of its own former process replaces it without waiting for the lease:
  * that process has ended, since this one listens at its address. Orders that it sent may still be
@@ -62,6 +64,12 @@
 	 * successor must know, allocated as waxwing__cell_owner__unpack() does.
 	 */
 	void (*describe_release)(void *data, Waxwing__CellOwner *release);
+	/**
+	 * Called when this node has stored its entry again after it was removed. Reads the owners'
+	 * entries up to then soon: the node owns the cell once waxwing_cell_claim_update() has
+	 * reported them.
+	 */
+	void (*read_owners)(void *data);
 	/** Returns true once this node knows enough to serve the cell; until then it claims nothing. */
 	bool (*prepared)(void *data);
 	void *data;
@@ -85,6 +93,13 @@
 void waxwing_cell_claim_learn_owner(struct waxwing_cell_claim *claim, const char *node,
 				    const char *address, uint64_t incarnation, uint64_t revision);
 
+/**
+ * @lost: the store no longer has all changes since the last one that was reported, and the current
+ * entries are read. A node whose entry may have been replaced meanwhile gives up its cell. Call
+ * with false when the entries have been read.
+ */
+void waxwing_cell_claim_set_history_lost(struct waxwing_cell_claim *claim, bool lost);
+
 /** Marks the owners' entries as read: from now on, a cell without an entry has no owner. */
 void waxwing_cell_claim_set_synced(struct waxwing_cell_claim *claim);
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -61,10 +61,19 @@
 	g_free(key);
 }
 
+static void owner_history_lost(void *data, bool lost)
+{
+	struct waxwing_node *node = data;
+
+	for (guint i = 0; i < node->cells->len; i++)
+		waxwing_cell_claim_set_history_lost(
+			((struct node_cell *)node->cells->pdata[i])->claim, lost);
+}
+
 static struct waxwing_store_watch *
 create_watch(struct waxwing_node *node, const char *prefix, uint32_t wait_ms,
 	     void (*changed)(void *data, const struct waxwing_store_item *item),
-	     void (*reached)(void *data, bool reached))
+	     void (*history_lost)(void *data, bool lost))
 {
 	struct waxwing_store_watch_options options = {
 		.store = node->options.store,
@@ -72,7 +81,8 @@
 		.prefix = prefix,
 		.wait_ms = wait_ms,
 		.changed = changed,
-		.reached = reached,
+		.reached = store_reached,
+		.history_lost = history_lost,
 		.data = node,
 	};
 
@@ -139,12 +149,12 @@
 	node->pending_jobs =
 		g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, node_pending_job_free);
 	node_cells_create(node);
-	node->routing_watch = create_watch(node, options->routing_key, WATCH_WAIT_MS,
-					   node_routing_changed, store_reached);
+	node->routing_watch =
+		create_watch(node, options->routing_key, WATCH_WAIT_MS, node_routing_changed, NULL);
 	node->owner_watch = create_watch(node, WAXWING_CELL_OWNER_PREFIX, WATCH_WAIT_MS,
-					 owner_entry_changed, store_reached);
+					 owner_entry_changed, owner_history_lost);
 	node->executor_watch = create_watch(node, options->executor_prefix, ENTRIES_WATCH_WAIT_MS,
-					    node_entries_changed, store_reached);
+					    node_entries_changed, NULL);
 	waxwing_store_watch_set_interval(node->executor_watch, ENTRIES_INTERVAL_MS);
 	return node;
 }
--- a/src/node/node_cells.c
+++ b/src/node/node_cells.c
@@ -64,6 +64,13 @@
 	return node_entries_known(cell->node);
 }
 
+static void read_owners(void *data)
+{
+	const struct node_cell *cell = data;
+
+	waxwing_store_watch_restart(cell->node->owner_watch);
+}
+
 /* Returns the part of the cores that an owner needs which this node lacks. */
 static double core_shortfall(const struct waxwing_node *node)
 {
@@ -100,6 +107,7 @@
 			.owner_changed = owner_changed,
 			.owner_reachable = owner_is_reachable,
 			.describe_release = node_release_describe,
+			.read_owners = read_owners,
 			.prepared = is_prepared,
 			.data = cell,
 		};
--- a/src/node/store_watch.c
+++ b/src/node/store_watch.c
@@ -148,6 +148,8 @@
 	watch->revision = watch->range_revision;
 	watch->synced = true;
 	watch->ever_synced = true;
+	if (watch->options.history_lost)
+		watch->options.history_lost(watch->options.data, false);
 }
 
 static void handle_history_loss(struct waxwing_store_watch *watch)
@@ -155,6 +157,8 @@
 	waxwing_event("store_history_lost", "prefix=%s revision=%llu", watch->prefix,
 		      (unsigned long long)watch->revision);
 	watch->synced = false;
+	if (watch->options.history_lost)
+		watch->options.history_lost(watch->options.data, true);
 }
 
 static void back_off(struct waxwing_store_watch *watch, int64_t now_ms)
--- a/src/node/store_watch.h
+++ b/src/node/store_watch.h
@@ -22,6 +22,11 @@
 	void (*changed)(void *data, const struct waxwing_store_item *item);
 	/** Called after each call, with whether the store answered it. */
 	void (*reached)(void *data, bool reached);
+	/**
+	 * Called with true when the store has dropped changes that were not read yet, and with
+	 * false once the range has been read instead. null: not called.
+	 */
+	void (*history_lost)(void *data, bool lost);
 	void *data;
 };
 
--- a/test/node_sim_store.h
+++ b/test/node_sim_store.h
@@ -334,6 +334,12 @@
 		     store_deliver_answer, call);
 }
 
+/* Drops the history of all changes so far. */
+static G_GNUC_UNUSED void store_forget_history(struct cluster_sim *sim)
+{
+	sim->forgotten_revision = sim->revision;
+}
+
 static G_GNUC_UNUSED void store_stop_answering(struct cluster_sim *sim)
 {
 	sim->store_unresponsive = true;
@@ -360,7 +366,7 @@
 		store_answer(call, WAXWING_STORE_REFUSED);
 		return;
 	}
-	if (sim->store_unresponsive) {
+	if (sim->store_unresponsive || host->store_requests_lost) {
 		store_drop_call(call);
 		return;
 	}
@@ -369,6 +375,10 @@
 		handle_range(sim, call);
 		break;
 	case STORE_WATCH:
+		if (call->revision_or_lease < sim->forgotten_revision) {
+			store_answer(call, WAXWING_STORE_HISTORY_LOST);
+			break;
+		}
 		watcher = g_new0(struct store_watcher, 1);
 		watcher->call = call;
 		watcher->timeout_at_ms = sim_now(sim) + call->wait_or_ttl_ms;
@@ -396,6 +406,8 @@
 
 	if (strcmp(prefix, "servers/") == 0)
 		host->list_read_ms = sim_now(host->sim);
+	if (strcmp(prefix, "cells/") == 0)
+		host->owners_read_ms = sim_now(host->sim);
 }
 
 static struct store_call *store_call(struct waxwing_store *store, enum store_kind kind,
--- a/test/node_sim_types.h
+++ b/test/node_sim_types.h
@@ -86,9 +86,11 @@
 	struct waxwing_virtual_clock day; /* the host's time of day */
 	int64_t day_offset_ms; /* error of the host's time of day */
 	bool store_unreachable;
+	bool store_requests_lost; /* the store's answers to earlier requests still arrive */
 	bool drops_incoming; /* messages from other nodes are lost */
 	int64_t receive_delay_ms; /* delay until the node reads a message */
 	int64_t list_read_ms; /* last time at which the node called for executors' entries */
+	int64_t owners_read_ms; /* the same for the owners' entries */
 	char name[32];
 	char address[32];
 };
@@ -188,6 +190,7 @@
 	GPtrArray *watchers;
 	uint64_t revision;
 	uint64_t next_lease;
+	uint64_t forgotten_revision; /* changes up to this revision are no longer available */
 	bool store_down;
 	bool store_unresponsive; /* calls are never answered, and pending watches are lost */
 	double store_unanswered_share; /* share of changes that take effect without an answer */
