A release names executors with ends that are not recorded

Cause: a release names the executors from which the successor must hear before it starts recovered tasks. Those whose runs had all ended, with records that the store had not taken yet, were left out. If their entries had expired in an outage, the successor did not know them and took its list of executors for complete.

Change: the release names each executor with ends that were not acknowledged. The successor calls it, or waits until its lease has expired.

--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -275,7 +275,8 @@
 					const struct waxwing_executor_entry *entry);
 
 /**
- * Calls @each for every executor where runs of this owner or of a former one may last.
+ * Calls @each for every executor where runs of this owner or of a former one may last, or may have
+ * ended without a record in the journal.
  * @unlisted: it has left the platform's list.
  */
 void waxwing_cell_foreach_leased_executor(const struct waxwing_cell *cell, int64_t now_ms,
--- a/src/cell/cell_executor.c
+++ b/src/cell/cell_executor.c
@@ -327,6 +327,16 @@
 	executor->removed = true;
 }
 
+/* Returns true if a successor must hear from the executor before it starts recovered tasks. */
+static bool matters_to_successor(const struct executor *executor, int64_t now_ms)
+{
+	/* ends whose records may not be stored are listed again until they are acknowledged */
+	if (executor->runs->len || executor->processed_upto > executor->acked_upto)
+		return true;
+	/* former owners' runs and ends are not known before it has listed them */
+	return !executor->runs_listed && now_ms < executor->leases_expire_ms;
+}
+
 void waxwing_cell_foreach_leased_executor(const struct waxwing_cell *cell, int64_t now_ms,
 					  void (*each)(void *data,
 						       const struct waxwing_executor_entry *entry,
@@ -348,9 +358,7 @@
 			.draining = executor->draining,
 		};
 
-		/* former owners' runs are not known before it has listed its runs */
-		if (executor->runs->len ||
-		    (!executor->runs_listed && now_ms < executor->leases_expire_ms))
+		if (matters_to_successor(executor, now_ms))
 			each(data, &entry, executor->unlisted_since_ms != 0);
 	}
 }
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -412,8 +412,8 @@
 }
 
 /*
- * Returns true if all runs that former owners started since options.orderly_since are known and no
- * more can start.
+ * Returns true if all runs that former owners started since options.orderly_since are known, whether
+ * they are running or have ended, and no more can start.
  */
 static bool all_former_runs_known(const struct waxwing_cell *cell)
 {
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -55,7 +55,7 @@
 	uint64_t orderly_since;
 	/*
 	 * hashes of the ids of executors that are not known but where former owners' leases may
-	 * last; null: there are none, or the former owner did not name them
+	 * last, or ends are not recorded; null: there are none, or the former owner did not name them
 	 */
 	GHashTable *unknown_leased;
 	int64_t unknown_leases_expire_ms;
