Without a confirmed ownership, tasks start where the fence is known to hold

Cause: an owner whose lease has run out goes on until an executor rejects its fencing token. An executor that has restarted knows no token until the successor has called it. A former owner that woke started tasks there at once: it took the executor for the one that it had called before the pause. It needs no pause: an owner that was cut off from all and reaches such an executor first did the same.

Change: the cell knows until when the store has confirmed the ownership. After that a task starts only on an executor that accepted this owner's token in a hold sent less than 500 ms before, and a durable one not on an executor whose restart was noticed since, for 2.5 s. The first hold after a pause extends no leases, and ends of unknown runs are not acknowledged.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -26,6 +26,7 @@
 	cell->options = *options;
 	cell->options.name = g_strdup(options->name);
 	cell->created_ms = now_ms;
+	cell->owned_until_ms = INT64_MAX;
 	cell->next_handle = 1;
 	cell->jobs = g_hash_table_new(job_key_hash, job_key_equal);
 	cell->ready_jobs = g_sequence_new(NULL);
@@ -76,9 +77,11 @@
 	cell->options.fencing_token = MAX(cell->options.fencing_token, fencing_token);
 }
 
-void waxwing_cell_set_ownership_confirmed(struct waxwing_cell *cell, bool confirmed)
+void waxwing_cell_set_owned_until(struct waxwing_cell *cell, int64_t now_ms, int64_t until_ms)
 {
-	cell->ownership_unconfirmed = !confirmed;
+	bool confirmed = until_ms > now_ms;
+
+	cell->owned_until_ms = confirmed ? until_ms : MIN(cell->owned_until_ms, now_ms);
 }
 
 void waxwing_cell_set_list_complete(struct waxwing_cell *cell)
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -250,12 +250,18 @@
 void waxwing_cell_set_token(struct waxwing_cell *cell, uint64_t fencing_token);
 
 /**
- * Sets whether the store has lately confirmed that this owner still holds the cell. While it has
- * not, and runs of durable jobs last or their ends are not acknowledged, all executors are called
- * often: a successor, which would start these jobs again, first shows its token to the executors
- * that it uses.
+ * Sets until when the store has confirmed that this owner holds the cell; at most @now_ms: it has
+ * not. After that time there may be a successor, whose token an executor that has restarted may not
+ * have seen. Then
+ * - a task starts only on an executor that has accepted this owner's token shortly before, and a
+ *   durable one not on an executor that has just restarted;
+ * - ends of runs that this owner does not know are not acknowledged;
+ * - while runs of durable jobs last or their ends are not acknowledged, all executors are called
+ *   often: a successor, which would start these jobs again, first shows its token to the executors
+ *   that it uses.
+ * Until it is called, the ownership counts as confirmed.
  */
-void waxwing_cell_set_ownership_confirmed(struct waxwing_cell *cell, bool confirmed);
+void waxwing_cell_set_owned_until(struct waxwing_cell *cell, int64_t now_ms, int64_t until_ms);
 
 /** Sets wall-clock time minus the caller's clock, used to schedule repeating jobs. */
 void waxwing_cell_set_wall_clock_offset(struct waxwing_cell *cell, int64_t wall_offset_ms);
--- a/src/cell/cell_executor.c
+++ b/src/cell/cell_executor.c
@@ -10,6 +10,11 @@
  * issuer's pings.
  */
 #define FULL_LEASE_MS 250
+/*
+ * While the ownership is not confirmed, a task starts on an executor only this long after a hold was
+ * sent there that it accepted. Longer than an executor waits before it answers.
+ */
+#define ACCEPTED_RECENTLY_MS 500
 /* No task starts on an executor whose leases may only be extended by less than this. */
 #define MIN_START_LEASE_MS 300
 
@@ -56,6 +61,28 @@
 	return executor->breaker.state == WAXWING_BREAKER_CLOSED;
 }
 
+/* Returns true if the executor has accepted this owner's token a short time ago. */
+bool executor_accepts(const struct executor *executor, int64_t now_ms)
+{
+	return executor->answered && now_ms - executor->accepted_ms < ACCEPTED_RECENTLY_MS;
+}
+
+/*
+ * Returns true if a task of the job may start on the executor although a successor may own the cell.
+ * The executor must not have seen its token, and must not have been used by it before a restart:
+ * what the successor did there is not known, and its next call there may still be on its way.
+ */
+bool executor_may_start(const struct waxwing_cell *cell, const struct executor *executor,
+			const struct cell_job *job, int64_t now_ms)
+{
+	if (cell_is_owned(cell, now_ms))
+		return true;
+	if (!executor_accepts(executor, now_ms))
+		return false;
+	return !job->durable || executor->appeared_ms < cell->owned_until_ms ||
+	       now_ms - executor->appeared_ms >= EXECUTOR_ENTRIES_WAIT_MS;
+}
+
 void executor_target(const struct waxwing_cell *cell, const struct executor *executor,
 		     struct waxwing_order_target *target)
 {
@@ -225,7 +252,7 @@
  * of the previous incarnation are missing from the next list of runs, and are then treated as
  * ended; runs started since the restart are listed.
  */
-void executor_reset(struct executor *executor)
+void executor_reset(struct executor *executor, int64_t now_ms)
 {
 	waxwing_event("executor_restarted", "executor=%s runs=%u", executor->id,
 		      executor->runs->len);
@@ -235,6 +262,7 @@
 	executor->acked_upto = 0;
 	executor->acking_upto = 0;
 	executor->backoff_until_ms = 0;
+	executor->appeared_ms = now_ms;
 	waxwing_breaker_init(&executor->breaker);
 }
 
@@ -263,6 +291,7 @@
 	executor->started_ms = entry->started_ms;
 	executor->hold_requested = true;
 	executor->next_hold_ms = now_ms;
+	executor->appeared_ms = now_ms;
 	executor->kind = find_kind(cell, entry->kind);
 	executor->lease_ms = cell->options.max_lease_ms;
 	/* a former owner may just have granted leases of the maximum duration */
--- a/src/cell/cell_hold.c
+++ b/src/cell/cell_hold.c
@@ -64,14 +64,25 @@
 	return executor->processed_upto > executor->acked_upto;
 }
 
-/* An end may be acknowledged once the journal records that it caused are stored. */
-static void update_ackable_ends(const struct waxwing_cell *cell, struct executor *executor)
+/*
+ * An end may be acknowledged once the journal records that it caused are stored. The owner that has
+ * started a foreign run must hear of its end.
+ */
+static bool is_ackable(const struct waxwing_cell *cell, const struct pending_ack *ack,
+		       int64_t now_ms)
+{
+	return ack->record_number <= cell->stored_upto &&
+	       (!ack->foreign || cell_is_owned(cell, now_ms));
+}
+
+static void update_ackable_ends(const struct waxwing_cell *cell, struct executor *executor,
+				int64_t now_ms)
 {
 	guint ready = 0;
 
 	while (ready < executor->pending_acks->len &&
-	       g_array_index(executor->pending_acks, struct pending_ack, ready).record_number <=
-		       cell->stored_upto)
+	       is_ackable(cell, &g_array_index(executor->pending_acks, struct pending_ack, ready),
+			  now_ms))
 		executor->ackable_upto =
 			g_array_index(executor->pending_acks, struct pending_ack, ready++)
 				.end_number;
@@ -83,7 +94,10 @@
 {
 	struct waxwing_order_target target;
 	bool responsive = executor->answered && !executor->unresponsive;
-	int64_t until_ms = responsive ? executor_extend_lease(cell, executor, now_ms) : 0;
+	/* leases of a successor's runs must not be extended */
+	bool own_runs = cell_is_owned(cell, now_ms) || executor_accepts(executor, now_ms);
+	int64_t until_ms =
+		responsive && own_runs ? executor_extend_lease(cell, executor, now_ms) : 0;
 	bool list_now; /* answer at once: ends must be listed again before their acknowledgement */
 	bool fresh;
 	uint32_t wait_ms = executor->unknown_runs ? UNKNOWN_RUNS_WAIT_MS : HOLD_WAIT_MS;
@@ -91,7 +105,7 @@
 	executor->hold_in_flight = true;
 	executor->hold_requested = false;
 	executor->hold_sent_ms = now_ms;
-	update_ackable_ends(cell, executor);
+	update_ackable_ends(cell, executor, now_ms);
 	fresh = now_ms - executor->last_answer_ms <= MAX_ACK_DELAY_MS;
 	executor->acking_upto = fresh ? executor->ackable_upto : executor->acked_upto;
 	executor_target(cell, executor, &target);
@@ -100,12 +114,12 @@
 	cell->options.ops->hold(
 		cell->options.data, &target, until_ms,
 		executor->acking_upto > executor->acked_upto ? executor->acking_upto : 0,
-		responsive && executor->runs->len && !list_now ? wait_ms : 0);
+		responsive && own_runs && executor->runs->len && !list_now ? wait_ms : 0);
 }
 
 void cell_send_holds(struct waxwing_cell *cell, int64_t now_ms)
 {
-	int64_t refresh_ms = cell->ownership_unconfirmed && has_durable_work(cell) ?
+	int64_t refresh_ms = !cell_is_owned(cell, now_ms) && has_durable_work(cell) ?
 				     UNCONFIRMED_REFRESH_MS :
 				     CLOCK_REFRESH_MS;
 
@@ -138,7 +152,7 @@
 		job_task_done(cell, job, row->run_id.step, row->run_id.index, now_ms);
 	else if (!tracked && job && row->end == WAXWING_RUN_FAILED)
 		job_run_failed(cell, job, &row->run_id, executor, now_ms);
-	ack = (struct pending_ack){ row->number, cell->last_record };
+	ack = (struct pending_ack){ row->number, cell->last_record, !run && !job };
 	g_array_append_val(executor->pending_acks, ack);
 }
 
@@ -230,9 +244,10 @@
 	executor->ends_truncated = answer->ends_truncated;
 	if (!answer->ends_truncated)
 		end_missing_runs(cell, executor, now_ms, answer);
-	update_ackable_ends(cell, executor);
+	update_ackable_ends(cell, executor, now_ms);
 	executor->next_hold_ms = now_ms + (executor->pending_acks->len ? STORE_WAIT_MS : 0);
 	executor->last_answer_ms = now_ms;
+	executor->accepted_ms = executor->hold_sent_ms;
 	executor->runs_listed |= !cell->options.recovering && !answer->ends_truncated;
 	if (executor->runs_listed && !cell->first_runs_listed_ms)
 		cell->first_runs_listed_ms = now_ms;
@@ -250,7 +265,7 @@
 	executor->hold_in_flight = false;
 	if (answer->result == WAXWING_HOLD_ANSWERED && answer->started_ms > executor->started_ms) {
 		if (executor->started_ms)
-			executor_reset(executor);
+			executor_reset(executor, now_ms);
 		executor->started_ms = answer->started_ms;
 	}
 	switch (answer->result) {
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -23,11 +23,6 @@
  * first list: they are polled every 200 ms, and an answer takes time.
  */
 #define EXECUTOR_LISTS_WAIT_MS 600
-/*
- * Entries of executors that expired during a network partition return within 2 seconds of the end
- * of the partition, by the protocol; the other 500 ms allow for reading them.
- */
-#define EXECUTOR_ENTRIES_WAIT_MS 2500
 
 /*
  * An executor with this many ends whose records are not stored gets no more runs of durable jobs.
@@ -171,6 +166,10 @@
 			continue;
 		if (!executor_lease_suits(cell, executor, job, now_ms))
 			continue;
+		if (!executor_may_start(cell, executor, job, now_ms)) {
+			executor->hold_requested |= !executor_accepts(executor, now_ms);
+			continue;
+		}
 		failed = task->last_failed_on && strcmp(task->last_failed_on, executor->id) == 0;
 		if (failed && now_ms < task->avoid_until_ms)
 			continue;
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -19,6 +19,11 @@
  * entries.
  */
 #define UNLISTED_GRACE_MS 2000
+/*
+ * Entries of executors that expired during a network partition return within 2 seconds of the end
+ * of the partition, by the protocol; the other 500 ms allow for reading them.
+ */
+#define EXECUTOR_ENTRIES_WAIT_MS 2500
 /* Run times are learned in percent of the step's estimate. */
 #define RATIO_SCALE 100.0
 /* A job is useless to its caller after this multiple of its target duration. */
@@ -147,6 +152,7 @@
 struct pending_ack {
 	uint64_t end_number;
 	uint64_t record_number;
+	bool foreign; /* neither the run nor its job is known: another owner may have started it */
 };
 
 struct executor {
@@ -176,6 +182,8 @@
 	int64_t hold_sent_ms;
 	int64_t next_hold_ms; /* earliest time of the next hold */
 	int64_t last_answer_ms; /* time of the last answer to a hold */
+	int64_t accepted_ms; /* when the last hold was sent that it answered */
+	int64_t appeared_ms; /* when this owner first noticed its current incarnation */
 	int64_t leases_expire_ms; /* time by which all leases granted there have expired */
 	int64_t lease_ms; /* by how much its leases were last extended; at most 0: they were not */
 	int64_t clock_ms; /* the executor's clock at clock_read_ms */
@@ -248,7 +256,7 @@
 	bool permit_query_in_flight;
 	int64_t next_permit_query_ms;
 	int64_t wall_offset_ms; /* wall-clock time minus the caller's clock */
-	bool ownership_unconfirmed; /* the store has not confirmed it lately */
+	int64_t owned_until_ms; /* until when the store has confirmed that this owner holds it */
 	int64_t first_runs_listed_ms; /* when an executor first listed its runs; 0: none has */
 	int64_t last_appeared_ms; /* when an executor was last added after creation; 0: never */
 	uint64_t next_handle;
@@ -266,6 +274,12 @@
 	uint64_t refused;
 };
 
+/* Returns true if no other node can own the cell at @now_ms. */
+static inline bool cell_is_owned(const struct waxwing_cell *cell, int64_t now_ms)
+{
+	return now_ms < cell->owned_until_ms;
+}
+
 /* cell_executor.c */
 void executor_free(struct executor *executor);
 bool executor_usable(const struct executor *executor, int64_t now_ms);
@@ -279,10 +293,13 @@
 			  const struct cell_job *job, int64_t now_ms);
 int64_t executor_extend_lease(const struct waxwing_cell *cell, struct executor *executor,
 			      int64_t now_ms);
+bool executor_accepts(const struct executor *executor, int64_t now_ms);
+bool executor_may_start(const struct waxwing_cell *cell, const struct executor *executor,
+			const struct cell_job *job, int64_t now_ms);
 void executor_set_clock(struct executor *executor, int64_t now_ms, int64_t clock_ms);
 void executor_add_failure(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms,
 			  double weight);
-void executor_reset(struct executor *executor);
+void executor_reset(struct executor *executor, int64_t now_ms);
 void cell_scan_executors(struct waxwing_cell *cell, int64_t now_ms);
 
 /* cell_hold.c */
--- a/src/node/cell_claim.c
+++ b/src/node/cell_claim.c
@@ -506,10 +506,16 @@
 	return &claim->owner;
 }
 
+int64_t waxwing_cell_claim_lease_until_ms(const struct waxwing_cell_claim *claim)
+{
+	if (!claim->owner.known || !claim->owner.is_self || !claim->lease)
+		return 0;
+	return claim->renewed_ms + claim->options.ttl_ms;
+}
+
 bool waxwing_cell_claim_is_lease_valid(const struct waxwing_cell_claim *claim)
 {
-	return claim->owner.known && claim->owner.is_self && claim->lease &&
-	       now(claim) - claim->renewed_ms < claim->options.ttl_ms;
+	return now(claim) < waxwing_cell_claim_lease_until_ms(claim);
 }
 
 bool waxwing_cell_claim_is_releasing(const struct waxwing_cell_claim *claim)
--- a/src/node/cell_claim.h
+++ b/src/node/cell_claim.h
@@ -122,9 +122,12 @@
 waxwing_cell_claim_owner(const struct waxwing_cell_claim *claim);
 
 /**
- * Returns true if this node owns the cell and its lease, by the last successful renewal, cannot
- * have expired.
+ * Returns the time until which this node owns the cell for sure: its lease, by the last successful
+ * renewal, cannot have expired before. 0: none.
  */
+int64_t waxwing_cell_claim_lease_until_ms(const struct waxwing_cell_claim *claim);
+
+/** Returns true if that time has not come yet. */
 bool waxwing_cell_claim_is_lease_valid(const struct waxwing_cell_claim *claim);
 
 /**
--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -507,8 +507,8 @@
 	g_hash_table_iter_init(&iter, cell->issuers);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		check_issuer(cell, value, now_ms);
-	waxwing_cell_set_ownership_confirmed(cell->owned,
-					     waxwing_cell_claim_is_lease_valid(cell->claim));
+	waxwing_cell_set_owned_until(cell->owned, now_ms,
+				     waxwing_cell_claim_lease_until_ms(cell->claim));
 	waxwing_cell_set_wall_clock_offset(cell->owned, node_day_offset(cell->node));
 	waxwing_cell_advance(cell->owned, now_ms);
 	waxwing_journal_run(cell->journal);
--- a/test/cell_fixture.h
+++ b/test/cell_fixture.h
@@ -346,7 +346,7 @@
 	return &g_array_index(fixture->recorder.verdicts, struct verdict, index);
 }
 
-static void answer_started(struct fixture *fixture, guint index)
+static G_GNUC_UNUSED void answer_started(struct fixture *fixture, guint index)
 {
 	struct start *start = start_at(fixture, index);
 
