--- a/test/node_sim_executors.h
+++ b/test/node_sim_executors.h
@@ -154,6 +154,19 @@
 	g_array_append_val(executor->ended_at_ms, now_ms);
 }
 
+static void record_end(struct cluster_sim *sim, const struct waxwing_run_id *run_id,
+		       enum waxwing_run_end end)
+{
+	struct client_job *job = find_client(sim, run_id);
+
+	if (job && end == WAXWING_RUN_DONE) {
+		job->completed_tasks++;
+		job->done_tasks |= 1ULL << task_bit_index(run_id);
+	}
+	if (job && end == WAXWING_RUN_FAILED)
+		job->failures[task_bit_index(run_id)]++;
+}
+
 static void end_run(struct cluster_sim *sim, struct sim_executor *executor, guint index,
 		    enum waxwing_run_end end)
 {
@@ -161,12 +174,10 @@
 	struct waxwing_ended_run row = { .number = ++executor->last_end_number,
 					 .run_id = run.run_id,
 					 .end = end };
-	struct client_job *job = g_hash_table_lookup(sim->jobs, &run.run_id.job);
 
 	g_array_remove_index_fast(executor->runs, index);
 	add_ended(sim, executor, &row);
-	if (job && end == WAXWING_RUN_DONE)
-		job->completed_tasks++;
+	record_end(sim, &run.run_id, end);
 	answer_holds(sim, executor);
 }
 
@@ -201,6 +212,36 @@
 	return run_id->occurrence >= job->repetitions || sim_now(sim) + early_ms < due_ms;
 }
 
+/* Returns true if a task of the step before has not ended as done. */
+static bool is_out_of_order(const struct client_job *job, const struct waxwing_run_id *run_id)
+{
+	struct waxwing_run_id before = *run_id;
+
+	if (!run_id->step)
+		return false;
+	before.step--;
+	for (before.index = 0; before.index < job->tasks; before.index++)
+		if (!(job->done_tasks >> task_bit_index(&before) & 1))
+			return true;
+	return false;
+}
+
+static void check_durable_start(struct cluster_sim *sim, const struct client_job *job,
+				const struct waxwing_run_id *run_id,
+				const struct sim_executor *executor)
+{
+	uint32_t bit = task_bit_index(run_id);
+
+	if (job->acked_tasks >> bit & 1)
+		report_start_violation(sim, "TWICE, after an acknowledged end", run_id, executor);
+	if (is_out_of_order(job, run_id))
+		report_start_violation(sim, "ORDER, step", run_id, executor);
+	if (job->acked_failures[bit] >= MAX_ATTEMPTS)
+		report_start_violation(sim, "BUDGET", run_id, executor);
+	if (job->cancelled_ms && sim_now(sim) - job->cancelled_ms > CANCEL_MS)
+		report_start_violation(sim, "UNASKED, cancelled", run_id, executor);
+}
+
 static void check_start(struct cluster_sim *sim, struct sim_executor *executor,
 			const struct waxwing_run_id *run_id)
 {
@@ -217,8 +258,8 @@
 	}
 	if ((executor->runs->len + 1) * 6000 > EXECUTOR_CPU_MILLI)
 		report_start_violation(sim, "LIMIT", run_id, executor);
-	if (job && job->durable && (job->acked_tasks >> task_bit_index(run_id) & 1))
-		report_start_violation(sim, "TWICE, after an acknowledged end", run_id, executor);
+	if (job && job->durable)
+		check_durable_start(sim, job, run_id, executor);
 	if (job && job->state == CLIENT_REFUSED)
 		sim_report_violation(sim, "REFUSED", run_id->job, run_id->index);
 	if (job && job->repetitions && is_early(sim, job, run_id))
@@ -341,10 +382,14 @@
 
 	if (!job || executor->last_expiry_ms >= ended_ms)
 		return;
-	if (job->durable && job->last_start_ms[task_bit_index(&row->run_id)] > ended_ms)
+	if (row->end == WAXWING_RUN_DONE && job->durable &&
+	    job->last_start_ms[task_bit_index(&row->run_id)] > ended_ms)
 		report_start_violation(sim, "TWICE, before the end was acknowledged", &row->run_id,
 				       executor);
-	job->acked_tasks |= 1ULL << task_bit_index(&row->run_id);
+	if (row->end == WAXWING_RUN_DONE)
+		job->acked_tasks |= 1ULL << task_bit_index(&row->run_id);
+	else
+		job->acked_failures[task_bit_index(&row->run_id)]++;
 }
 
 static void record_acked_ends(struct cluster_sim *sim, const struct sim_executor *executor,
@@ -355,7 +400,7 @@
 			&g_array_index(executor->ended, struct waxwing_ended_run, i);
 
 		if (row->number > executor->acked_upto && row->number <= acked_upto &&
-		    row->end == WAXWING_RUN_DONE)
+		    (row->end == WAXWING_RUN_DONE || row->end == WAXWING_RUN_FAILED))
 			record_acked_end(sim, executor, i);
 	}
 }
@@ -516,7 +561,10 @@
 			if (executor_clock(sim, executor) >= executor->lease_expires_ms)
 				end_run(sim, executor, k, WAXWING_RUN_LAPSED);
 			else if (sim_now(sim) >= run->done_ms)
-				end_run(sim, executor, k, WAXWING_RUN_DONE);
+				end_run(sim, executor, k,
+					sim_chance(sim, sim->task_failure_share) ?
+						WAXWING_RUN_FAILED :
+						WAXWING_RUN_DONE);
 			else if (run->stop_done_ms && sim_now(sim) >= run->stop_done_ms)
 				end_run(sim, executor, k, WAXWING_RUN_STOPPED);
 		}
--- a/test/node_sim_faults.h
+++ b/test/node_sim_faults.h
@@ -25,6 +25,10 @@
 	FAULT_PATHS_CUT, /* from some nodes to an executor */
 	FAULT_EXECUTOR_ONE_WAY,
 	FAULT_LOST_ANSWERS,
+	FAULT_LEAVE, /* a node shuts down gracefully and starts again */
+	FAULT_HISTORY_LOST,
+	FAULT_STORE_ONE_WAY, /* a node's requests to the store are lost, but not the answers */
+	FAULT_KINDS,
 };
 
 static G_GNUC_UNUSED uint32_t seed_from_env(const char *variable, uint32_t default_seed)
@@ -44,6 +48,40 @@
 	store_remove(sim, key);
 }
 
+struct leaving_process {
+	int host_index;
+	uint64_t incarnation;
+};
+
+static void node_left(struct cluster_sim *sim, void *data)
+{
+	struct leaving_process *leaving = data;
+	int index = leaving->host_index;
+
+	if (find_live_host(sim, index, leaving->incarnation)) {
+		node_kill(sim, index);
+		node_start(sim, index);
+	}
+	g_free(leaving);
+}
+
+/* Shuts a node down gracefully. Its process ends, and another starts, after its time to leave. */
+static void node_leave(struct cluster_sim *sim, int index)
+{
+	struct sim_host *host = &sim->hosts[index];
+	struct leaving_process *leaving;
+
+	if (!host->node || host->leaving || host->frozen_until_ms)
+		return;
+	leaving = g_new0(struct leaving_process, 1);
+	leaving->host_index = index;
+	leaving->incarnation = host->incarnation;
+	host->leaving = true;
+	waxwing_node_leave(host->node, LEAVE_TIME_MS);
+	waxwing_node_process_events(host->node);
+	sim_schedule(sim, LEAVE_TIME_MS, node_left, leaving);
+}
+
 static G_GNUC_UNUSED void inject_random_fault(struct cluster_sim *sim, const enum sim_fault *kinds,
 					      int kind_count)
 {
@@ -104,6 +142,17 @@
 	case FAULT_LOST_ANSWERS:
 		sim->lost_answer_share = 0.1;
 		break;
+	case FAULT_LEAVE:
+		node_leave(sim, node);
+		break;
+	case FAULT_HISTORY_LOST:
+		store_forget_history(sim);
+		break;
+	case FAULT_STORE_ONE_WAY:
+		sim->hosts[node].store_requests_lost = true;
+		break;
+	case FAULT_KINDS:
+		g_assert_not_reached();
 	}
 }
 
@@ -126,6 +175,8 @@
 			node_start(sim, i);
 		if (sim_chance(sim, share))
 			host->store_unreachable = false;
+		if (host->store_requests_lost && sim_chance(sim, share))
+			host->store_requests_lost = false;
 	}
 	for (int i = 0; i < EXECUTORS; i++)
 		if (sim_chance(sim, share))
--- a/test/node_sim_nodes.h
+++ b/test/node_sim_nodes.h
@@ -155,6 +155,7 @@
 	host->incarnation = (uint64_t)g_rand_int(sim->random) << 32 | (uint64_t)index << 8 | 1;
 	options.incarnation = host->incarnation;
 	host->frozen_until_ms = 0;
+	host->leaving = false;
 	host->node = waxwing_node_create(&options);
 }
 
@@ -254,6 +255,15 @@
 	}
 }
 
+/* The next query cancels the job. */
+static void client_cancel(struct cluster_sim *sim, void *data)
+{
+	struct client_job *job = data;
+
+	(void)sim;
+	job->cancel_wanted = true;
+}
+
 static void client_answered(struct waxwing_job_waiter *waiter,
 			    const struct waxwing_node_answer *answer)
 {
@@ -266,6 +276,10 @@
 	if (answer->outcome == WAXWING_JOB_STORED) {
 		job->state = CLIENT_STORED;
 		sim_schedule(job->sim, QUERY_INTERVAL_MS, client_query, job);
+		if (sim_chance(job->sim, job->sim->cancel_share))
+			sim_schedule(job->sim,
+				     g_rand_int_range(job->sim->random, 0, MAX_CANCEL_AFTER_MS),
+				     client_cancel, job);
 	} else if (answer->outcome == WAXWING_JOB_COMPLETED) {
 		job->state = CLIENT_COMPLETED;
 		if (job->completed_tasks < client_task_count(job))
@@ -285,7 +299,9 @@
 {
 	Waxwing__Job made = WAXWING__JOB__INIT;
 	Waxwing__JobStep step = WAXWING__JOB_STEP__INIT;
-	Waxwing__JobStep *steps[] = { &step };
+	Waxwing__JobStep second;
+	Waxwing__JobStep *steps[MAX_CLIENT_STEPS] = { &step, &second };
+	uint32_t first = 0;
 	uint8_t packed[512];
 	size_t len;
 
@@ -293,9 +309,9 @@
 	made.queue = "queue";
 	made.service = "service";
 	made.spec = "spec";
-	made.n_steps = 1;
+	made.n_steps = MAX(job->steps, 1);
 	made.steps = steps;
-	made.max_attempts = 3;
+	made.max_attempts = MAX_ATTEMPTS;
 	made.stretch_milli = 1600;
 	made.allowance_ms = 60;
 	made.patience_ms = job->sim ? job->sim->client_patience_ms : CLIENT_PATIENCE_MS;
@@ -314,6 +330,9 @@
 	step.cpu_milli = 6000;
 	step.has_estimated_ms = true;
 	step.estimated_ms = job->work_ms;
+	second = step;
+	second.n_after = 1;
+	second.after = &first;
 	len = waxwing__job__pack(&made, packed);
 	return waxwing__job__unpack(NULL, len, packed);
 }
@@ -380,6 +399,14 @@
 	client_schedule_resubmit(job);
 }
 
+static bool has_failed_task(const struct client_job *job)
+{
+	for (int i = 0; i < MAX_CLIENT_TASK_BITS; i++)
+		if (job->failures[i] >= MAX_ATTEMPTS)
+			return true;
+	return false;
+}
+
 static void client_query_answered(struct waxwing_job_query *query, bool answered,
 				  enum waxwing_job_state state)
 {
@@ -395,6 +422,15 @@
 			sim_report_violation(job->sim, "INCOMPLETE", job->id, job->completed_tasks);
 		return;
 	}
+	if (answered && state == WAXWING_STATE_FAILED && has_failed_task(job)) {
+		job->state = CLIENT_FAILED;
+		return;
+	}
+	if (answered && state == WAXWING_STATE_CANCELLED && job->cancel_wanted) {
+		job->state = CLIENT_CANCELLED;
+		job->cancelled_ms = sim_now(job->sim);
+		return;
+	}
 	if (answered && state != WAXWING_STATE_QUEUED && state != WAXWING_STATE_RUNNING)
 		sim_report_violation(job->sim, "LOST", job->id, state);
 	sim_schedule(job->sim, QUERY_INTERVAL_MS, client_query, job);
@@ -417,6 +453,7 @@
 	job->query.answer = client_query_answered;
 	job->query.job = job->id;
 	job->query.timeout_ms = 3000;
+	job->query.cancel = job->cancel_wanted;
 	waxwing_node_query_job(host->node, &job->query);
 	waxwing_node_process_events(host->node);
 }
@@ -431,6 +468,7 @@
 	job->tasks = (uint32_t)g_rand_int_range(sim->random, 1, MAX_CLIENT_TASKS + 1);
 	job->work_ms = (uint32_t)g_rand_int_range(sim->random, 20, (int32_t)sim->max_work_ms);
 	job->durable = sim_chance(sim, sim->durable_share);
+	job->steps = job->durable && sim_chance(sim, sim->step_share) ? MAX_CLIENT_STEPS : 1;
 	job->permits_needed = sim->permit_share > 0 && sim_chance(sim, sim->permit_share);
 	if (job->durable && sim->repeated_share > 0 && sim_chance(sim, sim->repeated_share)) {
 		job->repetitions = REPETITIONS;
--- a/test/node_sim_types.h
+++ b/test/node_sim_types.h
@@ -25,9 +25,17 @@
 #define QUERY_INTERVAL_MS  300
 #define MAX_WORK_MS	   400
 #define MAX_CLIENT_TASKS   4
+#define MAX_CLIENT_STEPS   2
+#define MAX_ATTEMPTS	   3
 /* Number of occurrences of a repeated job, and the interval between them. */
 #define REPETITIONS	       3
 #define OCCURRENCE_INTERVAL_MS 300
+/* Tasks of a client's job in all steps and occurrences; they are the bits of a bit set. */
+#define MAX_CLIENT_TASK_BITS (MAX_CLIENT_TASKS * MAX_CLIENT_STEPS * REPETITIONS)
+/* Longest time from a job's acceptance to its cancellation. */
+#define MAX_CANCEL_AFTER_MS 1500
+/* Time after the acknowledgement of a cancellation in which tasks may still start. */
+#define CANCEL_MS 3000
 /* Time of day, in ms since 1970, when the simulation's clock is at 0. */
 #define DAY_CLOCK_START_MS 1700000000000
 /* How early an occurrence may start, normally and after clock jumps, as documented for users. */
@@ -87,6 +95,7 @@
 	int64_t day_offset_ms; /* error of the host's time of day */
 	bool store_unreachable;
 	bool store_requests_lost; /* the store's answers to earlier requests still arrive */
+	bool leaving;
 	bool drops_incoming; /* messages from other nodes are lost */
 	int64_t receive_delay_ms; /* delay until the node reads a message */
 	int64_t list_read_ms; /* last time at which the node called for executors' entries */
@@ -133,6 +142,8 @@
 	CLIENT_COMPLETED,
 	CLIENT_REFUSED, /* the only submission was refused */
 	CLIENT_ABANDONED,
+	CLIENT_FAILED, /* a task of the durable job has failed MAX_ATTEMPTS times */
+	CLIENT_CANCELLED,
 };
 
 /* One submission of a client's job. */
@@ -153,7 +164,13 @@
 	bool query_pending;
 	/* bit set of tasks whose end was acknowledged, indexed by task_bit_index() */
 	uint64_t acked_tasks;
-	int64_t last_start_ms[MAX_CLIENT_TASKS * REPETITIONS]; /* indexed by task_bit_index() */
+	uint64_t done_tasks; /* the same of tasks that have ended as done */
+	uint8_t failures[MAX_CLIENT_TASK_BITS]; /* failed runs, indexed by task_bit_index() */
+	uint8_t acked_failures[MAX_CLIENT_TASK_BITS]; /* those of them that were acknowledged */
+	int64_t last_start_ms[MAX_CLIENT_TASK_BITS]; /* indexed by task_bit_index() */
+	uint32_t steps; /* each but the first depends on the one before it */
+	bool cancel_wanted;
+	int64_t cancelled_ms; /* when the cancellation was acknowledged; 0: it was not */
 	bool permits_needed; /* only some executors may run the job */
 	uint32_t repetitions; /* 0: the job runs once */
 	int64_t first_ms; /* due time of the first occurrence, on the simulation's clock */
@@ -196,6 +213,9 @@
 	double store_unanswered_share; /* share of changes that take effect without an answer */
 	double durable_share; /* share of durable jobs */
 	double repeated_share; /* share of durable jobs that repeat at set times */
+	double step_share; /* share of durable jobs that have MAX_CLIENT_STEPS steps */
+	double cancel_share; /* share of durable jobs that are cancelled */
+	double task_failure_share; /* share of runs that fail */
 	double permit_share; /* share of jobs that only some executors may run */
 	/* share of queries to the permits service that are not answered */
 	double permits_unanswered_share;
@@ -235,7 +255,8 @@
  */
 static uint32_t task_bit_index(const struct waxwing_run_id *run_id)
 {
-	return run_id->occurrence * MAX_CLIENT_TASKS + run_id->index;
+	return (run_id->occurrence * MAX_CLIENT_STEPS + run_id->step) * MAX_CLIENT_TASKS +
+	       run_id->index;
 }
 
 /* Returns the client whose task it is; null for a task that no client asked for. */
@@ -243,12 +264,15 @@
 {
 	struct client_job *job = g_hash_table_lookup(sim->jobs, &run_id->job);
 
-	return run_id->index < MAX_CLIENT_TASKS && run_id->occurrence < REPETITIONS ? job : NULL;
+	return run_id->index < MAX_CLIENT_TASKS && run_id->step < MAX_CLIENT_STEPS &&
+			       run_id->occurrence < REPETITIONS ?
+		       job :
+		       NULL;
 }
 
 static uint32_t client_task_count(const struct client_job *job)
 {
-	return job->tasks * MAX(job->repetitions, 1);
+	return job->tasks * MAX(job->steps, 1) * MAX(job->repetitions, 1);
 }
 
 static int64_t sim_now(const struct cluster_sim *sim)
