Queries that wait are answered before a process exits

Cause: waxwing_node_abort_pending() answers callers of submitted jobs only.

Evidence: /node_change/abort_answers_queries fails without the change (0 of 2 queries are answered) and passes with it.

--- a/src/node/node.h
+++ b/src/node/node.h
@@ -180,7 +180,7 @@
 
 /**
  * Answers all waiting callers because the process is about to exit. Jobs that were offered to a
- * cell may have run.
+ * cell may have run. Callers that query or cancel a job learn that no cell could answer.
  */
 void waxwing_node_abort_pending(struct waxwing_node *node);
 
--- a/src/node/node_jobs.c
+++ b/src/node/node_jobs.c
@@ -502,6 +502,8 @@
 {
 	GList *jobs = g_hash_table_get_values(node->pending_jobs);
 
+	node_queries_abort(node);
+
 	for (GList *item = jobs; item; item = item->next) {
 		struct pending_job *pending = item->data;
 
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -184,6 +184,7 @@
 
 /* node_queries.c */
 void node_queries_run(struct waxwing_node *node, int64_t now_ms);
+void node_queries_abort(struct waxwing_node *node);
 void node_queries_add_answer(struct node_cell *cell, const Waxwing__JobTold *told);
 void node_queries_process_answers(struct waxwing_node *node);
 
--- a/src/node/node_queries.c
+++ b/src/node/node_queries.c
@@ -98,6 +98,13 @@
 	}
 }
 
+/* Answers all queries that wait, without a state. */
+void node_queries_abort(struct waxwing_node *node)
+{
+	while (node->queries->len)
+		answer_query(node, node->queries->len - 1, NULL, false, WAXWING_STATE_NONE);
+}
+
 void node_queries_add_answer(struct node_cell *cell, const Waxwing__JobTold *told)
 {
 	struct query_answer *queued = g_new0(struct query_answer, 1);
--- a/test/test_node_change.c
+++ b/test/test_node_change.c
@@ -281,6 +281,54 @@
 	sim_destroy(sim);
 }
 
+struct query_wait {
+	struct waxwing_job_query query; /* must be the first member */
+	uint32_t answers;
+	bool answered;
+};
+
+static void query_wait_answered(struct waxwing_job_query *query, bool answered,
+				enum waxwing_job_state state)
+{
+	struct query_wait *wait = (struct query_wait *)query;
+
+	(void)state;
+	wait->answers++;
+	wait->answered = answered;
+}
+
+/*
+ * Guards against connections that end without an answer: a process that exited after SIGTERM
+ * answered those who waited for a job, but not those who waited for a job's state (review/9).
+ */
+static void test_abort_answers_queries(void)
+{
+	struct cluster_sim *sim = create_settled_sim(1);
+	struct query_wait waits[2];
+
+	for (int i = 1; i < NODES; i++)
+		node_kill(sim, i);
+	waxwing_node_leave(sim->hosts[0].node, LEAVE_TIME_MS);
+	sim_run(sim, 500);
+	for (int i = 0; i < 2; i++) {
+		waits[i] = (struct query_wait){ .query = { .answer = query_wait_answered,
+							   .job = 1,
+							   .cancel = i == 1,
+							   .timeout_ms = 20000 } };
+		waxwing_node_query_job(sim->hosts[0].node, &waits[i].query);
+	}
+	sim_run(sim, LEAVE_TIME_MS - 500);
+	g_assert_cmpuint(waits[0].answers + waits[1].answers, ==, 0);
+	waxwing_node_abort_pending(sim->hosts[0].node);
+	waxwing_node_process_events(sim->hosts[0].node);
+	for (int i = 0; i < 2; i++) {
+		g_assert_cmpuint(waits[i].answers, ==, 1);
+		g_assert_false(waits[i].answered);
+	}
+	g_assert_true(waxwing_node_idle(sim->hosts[0].node));
+	sim_destroy(sim);
+}
+
 struct routing_wait {
 	struct waxwing_routing_waiter waiter; /* must be the first member */
 	struct cluster_sim *sim;
@@ -335,6 +383,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/node_change/power_cycle", test_power_cycle);
+	g_test_add_func("/node_change/abort_answers_queries", test_abort_answers_queries);
 	g_test_add_func("/node_change/await_routing", test_await_routing);
 	g_test_add_func("/node_change/leaving_serves", test_leaving_serves);
 	g_test_add_func("/node_change/domain_restarts", test_domain_restarts);
