News of an owner that is older than what was read is ignored

What callers saw: accepted jobs of a cell never ran, and their states were unknown, since no node claimed the cell.

Cause: a node that starts reads the owners' entries, and then believed a peer that had not reached the store since before an entry's removal. The watch reports only later changes, so nothing contradicted the peer, and the nodes that restarted next took the news on.

Change: a cell's seen revision follows what the owners' watch has read.

--- a/src/node/cell_claim.c
+++ b/src/node/cell_claim.c
@@ -272,10 +272,12 @@
 	set_owner(claim, &owner, revision);
 }
 
-void waxwing_cell_claim_set_synced(struct waxwing_cell_claim *claim)
+void waxwing_cell_claim_set_synced(struct waxwing_cell_claim *claim, uint64_t revision)
 {
 	if (!claim->owner.known && !claim->vacant_since_ms)
 		set_vacant(claim, claim->seen_revision);
+	/* another node may still report an owner whose entry was removed before it was read here */
+	claim->seen_revision = MAX(claim->seen_revision, revision);
 }
 
 void waxwing_cell_claim_set_history_lost(struct waxwing_cell_claim *claim, bool lost)
--- a/src/node/cell_claim.h
+++ b/src/node/cell_claim.h
@@ -100,8 +100,11 @@
  */
 void waxwing_cell_claim_set_history_lost(struct waxwing_cell_claim *claim, bool lost);
 
-/** Marks the owners' entries as read: from now on, a cell without an entry has no owner. */
-void waxwing_cell_claim_set_synced(struct waxwing_cell_claim *claim);
+/**
+ * Marks the owners' entries as read up to @revision of the store: from now on, a cell without an
+ * entry has no owner.
+ */
+void waxwing_cell_claim_set_synced(struct waxwing_cell_claim *claim, uint64_t revision);
 
 /** Gives up the cell because an executor or the journal has seen a higher token. */
 void waxwing_cell_claim_set_fenced(struct waxwing_cell_claim *claim);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -120,7 +120,8 @@
 	if (waxwing_store_watch_synced(node->owner_watch))
 		for (guint i = 0; i < node->cells->len; i++)
 			waxwing_cell_claim_set_synced(
-				((struct node_cell *)node->cells->pdata[i])->claim);
+				((struct node_cell *)node->cells->pdata[i])->claim,
+				waxwing_store_watch_revision(node->owner_watch));
 	node_routing_run(node, now_ms);
 	/* first, so that after a pause no cell starts tasks for callers that have stopped waiting */
 	node_jobs_run(node, now_ms);
--- a/test/test_node_change.c
+++ b/test/test_node_change.c
@@ -14,6 +14,8 @@
 #define HAND_BACK_MS 4000
 /* Shorter than the lease of the owner's entry, after which its domain may claim the cell. */
 #define STORE_LOST_MS 900
+/* Shorter than what is left of the lease of an owner that was just killed. */
+#define LEASE_LEFT_MS 500
 
 /*
  * All nodes lose power for less than the time to live of the owners' leases. The owners' new
@@ -281,6 +283,34 @@
 	sim_destroy(sim);
 }
 
+/*
+ * Guards against a cell that no node claims: a node that had just started believed another one,
+ * which did not reach the store, in an owner whose entry was gone before it started. Nothing that it
+ * read later contradicted that.
+ */
+static void test_outdated_news(void)
+{
+	for (uint32_t seed = 1; seed <= 10; seed++) {
+		struct cluster_sim *sim = create_settled_sim(seed);
+		struct sim_host *outdated = &sim->hosts[find_owner(sim, 0)];
+		int lost = find_owner(sim, 1);
+
+		for (int i = 1; i < NODES; i += ZONES)
+			node_kill(sim, i);
+		sim_run(sim, LEASE_LEFT_MS);
+		outdated->store_unreachable = true;
+		while (find_owner(sim, 1) == lost)
+			sim_run(sim, 1);
+		node_start(sim, 1);
+		sim_run(sim, 1000);
+		g_assert_cmpint(find_owner(sim, 1), ==, 1);
+		outdated->store_unreachable = false;
+		submit_jobs(sim, 500);
+		assert_all_answered(sim);
+		sim_destroy(sim);
+	}
+}
+
 struct query_wait {
 	struct waxwing_job_query query; /* must be the first member */
 	uint32_t answers;
@@ -383,6 +413,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/node_change/power_cycle", test_power_cycle);
+	g_test_add_func("/node_change/outdated_news", test_outdated_news);
 	g_test_add_func("/node_change/abort_answers_queries", test_abort_answers_queries);
 	g_test_add_func("/node_change/await_routing", test_await_routing);
 	g_test_add_func("/node_change/leaving_serves", test_leaving_serves);
