A job counts as waiting until an executor has begun a task of it

Cause: a job counted as begun when its first start order was sent, and that was not taken back when the start had not happened.

Refusals still go by whether an order was sent.

--- a/src/cell/cell_durable.c
+++ b/src/cell/cell_durable.c
@@ -217,7 +217,7 @@
 
 static enum waxwing_job_state current_state(const struct cell_job *job)
 {
-	return job->started ? WAXWING_STATE_RUNNING : WAXWING_STATE_QUEUED;
+	return job->begun ? WAXWING_STATE_RUNNING : WAXWING_STATE_QUEUED;
 }
 
 static void add_state_waiter(struct cell_job *job, int64_t now_ms, uint64_t asker, bool cancel)
@@ -303,6 +303,7 @@
 
 	if (!job || !job_has_task(job, record->step, record->index))
 		return;
+	job_begun(job);
 	task = &job->steps[record->step].tasks[record->index];
 	if (record->has_failed_run) {
 		task_add_failure(task, record->failed_run);
--- a/src/cell/cell_hold.c
+++ b/src/cell/cell_hold.c
@@ -142,9 +142,11 @@
 	if (row->number <= executor->processed_upto)
 		return;
 	executor->processed_upto = row->number;
-	if (job)
+	if (job) {
+		job_begun(job);
 		task_set_checkpoint(checkpoint_task(job, row->run_id.step, row->run_id.index),
 				    row->checkpoint);
+	}
 	if (run)
 		run_ended(cell, run, row->end, now_ms);
 	/* untracked run: a former owner started it, or its lease was assumed to have expired */
@@ -174,9 +176,11 @@
 		if (job)
 			run_adopt(cell, run, job);
 	}
-	if (run->job)
+	if (run->job) {
+		job_begun(run->job);
 		task_set_checkpoint(checkpoint_task(run->job, run->id.step, run->id.index),
 				    row->checkpoint);
+	}
 	run->start_unconfirmed = false;
 	if (run->state == RUN_STARTING) {
 		run->state = RUN_RUNNING;
--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -201,16 +201,16 @@
 /* Repeating jobs wait for their start times, not for capacity. */
 bool job_counts_as_waiting(const struct cell_job *job)
 {
-	return !job->started && !job->parent && !job->occurrences;
+	return !job->begun && !job->ended && !job->parent && !job->occurrences;
 }
 
-static void mark_started(struct cell_job *job)
+void job_begun(struct cell_job *job)
 {
 	if (job_counts_as_waiting(job))
 		job->queue->waiting_jobs--;
-	job->started = true;
+	job->begun = true;
 	if (job->parent)
-		job->parent->started = true;
+		job->parent->begun = true;
 }
 
 void job_task_assigned(struct waxwing_cell *cell, struct cell_job *job, uint32_t step,
@@ -218,7 +218,7 @@
 {
 	job->steps[step].tasks[index].state = TASK_ASSIGNED;
 	job->assigned_tasks++;
-	mark_started(job);
+	job->started = true;
 	change_ready_count(cell, job, step, -1);
 }
 
@@ -331,10 +331,10 @@
 /* Stops the job's runs and starts no more; the job is freed when its last run has ended. */
 void job_close(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms)
 {
-	job->ended = true;
-	job->closed_ms = now_ms;
 	if (job_counts_as_waiting(job))
 		job->queue->waiting_jobs--;
+	job->ended = true;
+	job->closed_ms = now_ms;
 	drop_ready_tasks(cell, job);
 	if (job->occurrences)
 		occurrences_close_all(cell, job, now_ms);
@@ -401,13 +401,13 @@
 	if (cell_step->tasks[index].state == TASK_DONE || job->ended ||
 	    cell_step->spec->long_running)
 		return;
+	job_begun(job);
 	if (cell_step->spec->gang)
 		for (uint32_t member = 0; member < cell_step->spec->count; member++)
 			finish_task(cell, job, step, member, now_ms);
 	else
 		finish_task(cell, job, step, index, now_ms);
 	if (!job->remaining) {
-		mark_started(job);
 		if (job->parent)
 			occurrence_completed(cell, job, now_ms);
 		else if (job->durable)
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -114,7 +114,8 @@
 	uint32_t assigned_tasks; /* tasks in TASK_ASSIGNED */
 	uint32_t remaining; /* tasks, or occurrences of a repeating job, that have not completed */
 	uint32_t total; /* number of tasks, or occurrences of a repeating job */
-	bool started;
+	bool started; /* a start order was sent: a task may have started */
+	bool begun; /* a task has started */
 	bool neglected; /* of a queue that was mostly refused: served before other jobs */
 	bool late; /* past its due time and not nearly done: served after other jobs */
 	bool long_running; /* has a step whose tasks run until the job is cancelled; served first */
@@ -355,6 +356,7 @@
 				       uint32_t occurrence, int64_t start_ms);
 void job_resume(struct waxwing_cell *cell, struct cell_job *job);
 bool job_counts_as_waiting(const struct cell_job *job);
+void job_begun(struct cell_job *job); /* a task has started */
 void job_unblock_steps(struct waxwing_cell *cell, struct cell_job *job);
 void job_adopt_runs(struct waxwing_cell *cell, struct cell_job *job);
 void job_close(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms);
