--- a/src/cell/cell_durable.c
+++ b/src/cell/cell_durable.c
@@ -303,7 +303,7 @@
 
 	if (!job || !job_has_task(job, record->step, record->index))
 		return;
-	job_begun(job);
+	job_set_begun(job);
 	task = &job->steps[record->step].tasks[record->index];
 	if (record->has_failed_run) {
 		task_add_failure(task, record->failed_run);
--- a/src/cell/cell_executor.c
+++ b/src/cell/cell_executor.c
@@ -61,23 +61,23 @@
 	return executor->breaker.state == WAXWING_BREAKER_CLOSED;
 }
 
-/* Returns true if the executor has accepted this owner's token a short time ago. */
-bool executor_accepts(const struct executor *executor, int64_t now_ms)
+/* Returns true if the executor accepted this owner's token a short time ago. */
+bool executor_accepted_recently(const struct executor *executor, int64_t now_ms)
 {
 	return executor->answered && now_ms - executor->accepted_ms < ACCEPTED_RECENTLY_MS;
 }
 
 /*
- * Returns true if a task of the job may start on the executor although a successor may own the cell.
- * The executor must not have seen its token, and must not have been used by it before a restart:
- * what the successor did there is not known, and its next call there may still be on its way.
+ * Returns true if a task of the job may start on the executor. If a successor may own the cell, the
+ * executor must still accept this owner's token. One that has restarted does so until the successor
+ * calls it again, so durable tasks wait until it would have.
  */
 bool executor_may_start(const struct waxwing_cell *cell, const struct executor *executor,
 			const struct cell_job *job, int64_t now_ms)
 {
 	if (cell_is_owned(cell, now_ms))
 		return true;
-	if (!executor_accepts(executor, now_ms))
+	if (!executor_accepted_recently(executor, now_ms))
 		return false;
 	return !job->durable || executor->appeared_ms < cell->owned_until_ms ||
 	       now_ms - executor->appeared_ms >= EXECUTOR_ENTRIES_WAIT_MS;
--- a/src/cell/cell_hold.c
+++ b/src/cell/cell_hold.c
@@ -94,10 +94,11 @@
 {
 	struct waxwing_order_target target;
 	bool responsive = executor->answered && !executor->unresponsive;
-	/* leases of a successor's runs must not be extended */
-	bool own_runs = cell_is_owned(cell, now_ms) || executor_accepts(executor, now_ms);
+	/* the executor may have runs of a successor, whose leases must not be extended */
+	bool may_extend =
+		cell_is_owned(cell, now_ms) || executor_accepted_recently(executor, now_ms);
 	int64_t until_ms =
-		responsive && own_runs ? executor_extend_lease(cell, executor, now_ms) : 0;
+		responsive && may_extend ? executor_extend_lease(cell, executor, now_ms) : 0;
 	bool list_now; /* answer at once: ends must be listed again before their acknowledgement */
 	bool fresh;
 	uint32_t wait_ms = executor->unknown_runs ? UNKNOWN_RUNS_WAIT_MS : HOLD_WAIT_MS;
@@ -114,7 +115,7 @@
 	cell->options.ops->hold(
 		cell->options.data, &target, until_ms,
 		executor->acking_upto > executor->acked_upto ? executor->acking_upto : 0,
-		responsive && own_runs && executor->runs->len && !list_now ? wait_ms : 0);
+		responsive && may_extend && executor->runs->len && !list_now ? wait_ms : 0);
 }
 
 void cell_send_holds(struct waxwing_cell *cell, int64_t now_ms)
@@ -143,7 +144,7 @@
 		return;
 	executor->processed_upto = row->number;
 	if (job) {
-		job_begun(job);
+		job_set_begun(job);
 		task_set_checkpoint(checkpoint_task(job, row->run_id.step, row->run_id.index),
 				    row->checkpoint);
 	}
@@ -177,7 +178,7 @@
 			run_adopt(cell, run, job);
 	}
 	if (run->job) {
-		job_begun(run->job);
+		job_set_begun(run->job);
 		task_set_checkpoint(checkpoint_task(run->job, run->id.step, run->id.index),
 				    row->checkpoint);
 	}
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -167,7 +167,7 @@
 		if (!executor_lease_suits(cell, executor, job, now_ms))
 			continue;
 		if (!executor_may_start(cell, executor, job, now_ms)) {
-			executor->hold_requested |= !executor_accepts(executor, now_ms);
+			executor->hold_requested |= !executor_accepted_recently(executor, now_ms);
 			continue;
 		}
 		failed = task->last_failed_on && strcmp(task->last_failed_on, executor->id) == 0;
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -294,7 +294,7 @@
 			  const struct cell_job *job, int64_t now_ms);
 int64_t executor_extend_lease(const struct waxwing_cell *cell, struct executor *executor,
 			      int64_t now_ms);
-bool executor_accepts(const struct executor *executor, int64_t now_ms);
+bool executor_accepted_recently(const struct executor *executor, int64_t now_ms);
 bool executor_may_start(const struct waxwing_cell *cell, const struct executor *executor,
 			const struct cell_job *job, int64_t now_ms);
 void executor_set_clock(struct executor *executor, int64_t now_ms, int64_t clock_ms);
@@ -319,6 +319,9 @@
 void run_ended(struct waxwing_cell *cell, struct cell_run *run, enum waxwing_run_end end,
 	       int64_t now_ms);
 
+/* cell_scan.c */
+void cell_scan_jobs(struct waxwing_cell *cell, int64_t now_ms);
+
 /* cell_job.c */
 void job_free(struct waxwing_cell *cell, struct cell_job *job);
 bool job_has_task(const struct cell_job *job, uint32_t step, uint32_t index);
@@ -326,6 +329,8 @@
 struct waxwing_capacity step_needs(const Waxwing__JobStep *step);
 double step_work_ms(const struct cell_job *job, const Waxwing__JobStep *step);
 double job_work_ms(const struct cell_job *job);
+/* Time after which the job is useless to its caller. */
+int64_t job_give_up_ms(const struct cell_job *job);
 int job_compare(gconstpointer a, gconstpointer b, gpointer user);
 void job_task_ready(struct waxwing_cell *cell, struct cell_job *job, uint32_t step, uint32_t index);
 void job_task_assigned(struct waxwing_cell *cell, struct cell_job *job, uint32_t step,
@@ -341,7 +346,6 @@
 void job_end(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms,
 	     enum waxwing_job_outcome outcome, enum waxwing_error_code reason,
 	     uint32_t retry_after_ms);
-void cell_scan_jobs(struct waxwing_cell *cell, int64_t now_ms);
 
 guint job_key_hash(gconstpointer key);
 gboolean job_key_equal(gconstpointer a, gconstpointer b);
@@ -356,7 +360,7 @@
 				       uint32_t occurrence, int64_t start_ms);
 void job_resume(struct waxwing_cell *cell, struct cell_job *job);
 bool job_counts_as_waiting(const struct cell_job *job);
-void job_begun(struct cell_job *job); /* a task has started */
+void job_set_begun(struct cell_job *job); /* a task has started */
 void job_unblock_steps(struct waxwing_cell *cell, struct cell_job *job);
 void job_adopt_runs(struct waxwing_cell *cell, struct cell_job *job);
 void job_close(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms);
--- a/src/cell/cell_run.c
+++ b/src/cell/cell_run.c
@@ -89,7 +89,7 @@
 	/* the former owner started it, so the earlier steps have completed */
 	if (task->state == TASK_BLOCKED)
 		job_task_ready(cell, job, run->id.step, run->id.index);
-	job_begun(job);
+	job_set_begun(job);
 	run->executor->unknown_runs--;
 	run->first_seen_ms = 0;
 	run->job = job;
@@ -230,7 +230,7 @@
 	switch (answer) {
 	case WAXWING_START_RUNNING:
 		if (run->job)
-			job_begun(run->job);
+			job_set_begun(run->job);
 		run->start_unconfirmed = false;
 		run->started_ms = now_ms;
 		if (run->state == RUN_STARTING)
