A new instance waits to hear who answers for an id

Cause: who inherited an instance's ids is told in heartbeats. An instance that was asked before the first of them came took the issuer for lost.

Change: in its first 2 s an instance keeps such a request until it has heard who answers for the id, or the 2 s are over.

--- a/src/dispatcher/dispatcher_forward.c
+++ b/src/dispatcher/dispatcher_forward.c
@@ -18,6 +18,11 @@
  * instances' views of the membership may differ for a moment.
  */
 #define MAX_HOPS 3
+/*
+ * How long after its start an instance waits to hear who answers for an id that it does not know:
+ * some rounds of heartbeats, of which a few may be lost.
+ */
+#define FIRST_NEWS_MS 2000
 /* Deadline assumed for a forwarded job that has none. */
 #define DEFAULT_DEADLINE_MS 60000
 
@@ -126,9 +131,10 @@
 	return remote ? remote->hops + 1 : 0;
 }
 
-static void send_forward(struct waxwing_dispatcher *d, int64_t now_ms,
-			 struct waxwing_stream *stream, const Waxwing__JobRequest *request,
-			 enum waxwing_submit_kind kind, struct waxwing_waiter waiter)
+static struct waxwing_forward *create_forward(struct waxwing_dispatcher *d, int64_t now_ms,
+					      uint64_t issuer, const Waxwing__JobRequest *request,
+					      enum waxwing_submit_kind kind,
+					      struct waxwing_waiter waiter)
 {
 	struct waxwing_forward *forward = g_new0(struct waxwing_forward, 1);
 	size_t len = waxwing__job_request__get_packed_size(request);
@@ -137,7 +143,7 @@
 	waxwing__job_request__pack(request, data);
 	forward->correlation = ++d->last_number;
 	forward->waiter = waiter;
-	forward->issuer = stream->key.incarnation;
+	forward->issuer = issuer;
 	forward->id = g_strdup(request->id);
 	forward->expires_ms =
 		now_ms + ANSWER_GRACE_MS +
@@ -147,8 +153,7 @@
 		forward_message(forward->correlation, kind, forward_hops(d, waiter), data, len);
 	g_free(data);
 	g_hash_table_insert(d->forwards, &forward->correlation, forward);
-	send_copy(forward, stream, now_ms);
-	waxwing_counter_increment(jobs_forwarded);
+	return forward;
 }
 
 /*
@@ -180,10 +185,16 @@
 		return;
 	}
 	stream = answering_stream(d, id.window.incarnation);
-	if (stream && forward_hops(d, waiter) < MAX_HOPS)
-		send_forward(d, now_ms, stream, request, kind, waiter);
-	else
+	if (stream && forward_hops(d, waiter) < MAX_HOPS) {
+		send_copy(create_forward(d, now_ms, stream->key.incarnation, request, kind, waiter),
+			  stream, now_ms);
+		waxwing_counter_increment(jobs_forwarded);
+	} else if (!stream && now_ms - d->created_ms < FIRST_NEWS_MS) {
+		create_forward(d, now_ms, id.window.incarnation, request, kind, waiter)
+			->held_until_ms = d->created_ms + FIRST_NEWS_MS;
+	} else {
 		answer_unknown(d, waiter, request->id, "the instance of this id cannot be reached");
+	}
 }
 
 static void process_request(struct waxwing_dispatcher *d, int64_t now_ms,
@@ -253,12 +264,18 @@
 	       !member.alive;
 }
 
-/* Resends a forward that is due; returns false if it has expired or its issuer is not alive. */
+/*
+ * Resends a forward that is due; returns false if it has expired or its issuer is not alive, or if
+ * it was held and need not wait any longer.
+ */
 static bool resend_if_due(struct waxwing_dispatcher *d, int64_t now_ms,
 			  struct waxwing_forward *forward)
 {
 	struct waxwing_stream *stream;
 
+	if (forward->held_until_ms)
+		return now_ms < MIN(forward->held_until_ms, forward->expires_ms) &&
+		       !answering_stream(d, forward->issuer);
 	if (is_undeliverable(d, now_ms, forward))
 		return false;
 	if (now_ms < forward->next_resend_ms)
@@ -270,8 +287,8 @@
 }
 
 /*
- * Resubmits an undeliverable forward if it has not expired and a successor answers for the issuer's
- * ids; otherwise answers that the outcome is unknown.
+ * Resubmits a held forward, or an undeliverable one if a successor answers for the issuer's ids, if
+ * it has not expired; otherwise answers that the outcome is unknown.
  */
 static void redirect_forward(struct waxwing_dispatcher *d, int64_t now_ms,
 			     struct waxwing_forward *forward)
@@ -279,7 +296,8 @@
 	const Waxwing__Forward *message = forward->message;
 	Waxwing__JobRequest *request;
 
-	if (!waxwing_membership_last_successor(d->membership, forward->issuer) ||
+	if ((!forward->held_until_ms &&
+	     !waxwing_membership_last_successor(d->membership, forward->issuer)) ||
 	    now_ms >= forward->expires_ms) {
 		answer_unknown(d, forward->waiter, forward->id, "the issuer did not answer");
 		return;
--- a/src/dispatcher/dispatcher_private.h
+++ b/src/dispatcher/dispatcher_private.h
@@ -44,6 +44,8 @@
 	uint64_t issuer; /**< Incarnation that the submission was sent to. */
 	char *id;
 	int64_t expires_ms;
+	/** If it was not sent yet: until when to wait for who answers for the id; 0: it was sent. */
+	int64_t held_until_ms;
 	int64_t next_resend_ms; /**< Time of the next resend. */
 	uint32_t resend_delay_ms;
 	Waxwing__Forward *message; /**< The forwarded submission, kept for resends; owned. */
--- a/test/test_dispatcher.c
+++ b/test/test_dispatcher.c
@@ -176,6 +176,37 @@
 	world_free(world);
 }
 
+/*
+ * Guards against "outcome unknown" for ids whose answer a peer has: an instance that has just started
+ * was asked before it had heard who inherited them (script_rolling_replacement, script_cut_pairs).
+ */
+static void test_asked_after_start(void)
+{
+	struct world *world = world_new(0);
+	uint32_t unknown = 0;
+
+	advance_world(world, 1000);
+	run_with_load(world, 300);
+	for (int i = 0; i < INSTANCES; i++)
+		drain_and_replace(world, i);
+	for (guint i = 0; i < world->ids->len; i++) {
+		const char *id = g_ptr_array_index(world->ids, i);
+
+		submit_id(world, INSTANCES - 1, id, id_task_count(id));
+	}
+	advance_world(world, 3000);
+	for (uint64_t waiter = world->next_waiter - world->ids->len + 1;
+	     waiter <= world->next_waiter; waiter++) {
+		const char *state = g_hash_table_lookup(world->answers, &waiter);
+
+		g_assert_nonnull(state);
+		unknown += g_str_equal(state, "unknown");
+	}
+	g_test_message("%u of %u ids unknown", unknown, world->ids->len);
+	g_assert_cmpuint(unknown, ==, 0);
+	world_free(world);
+}
+
 static uint32_t count_starts(struct world *world)
 {
 	return g_hash_table_size(world->starts) + (uint32_t)world->double_starts;
@@ -571,6 +602,7 @@
 	g_test_add_func("/dispatcher/death", test_instance_crash);
 	g_test_add_func("/dispatcher/pause", test_instance_pause);
 	g_test_add_func("/dispatcher/replacement", test_rolling_replacement);
+	g_test_add_func("/dispatcher/asked_after_start", test_asked_after_start);
 	g_test_add_func("/dispatcher/retry", test_retry);
 	g_test_add_func("/dispatcher/no_retry", test_no_retry);
 	g_test_add_func("/dispatcher/unknown_branch", test_unknown_branch);
