An executor's restart is noticed whatever its time of day

What callers could see: a task that ended on an executor that had restarted was run again, or its job waited. The review saw it by reading.

Cause: a restart was noticed by a later start time only. If the executor's clock had been set back, its first ends were taken for old ones, and the rule for executors that have lost their fencing token was not applied.

Change: any other start time counts as a restart.

Evidence: /cell/fence/restarted_with_earlier_time fails without the change in cell_hold.c (no verdict for the second job).

--- a/src/cell/cell_executor.c
+++ b/src/cell/cell_executor.c
@@ -326,7 +326,7 @@
 	}
 	if (!executor->started_ms)
 		executor->started_ms = entry->started_ms;
-	else if (entry->started_ms > executor->started_ms)
+	else if (entry->started_ms && entry->started_ms != executor->started_ms)
 		executor->hold_requested =
 			true; /* the answer lists the runs of the new incarnation */
 	replace_string(&executor->address, entry->address);
--- a/src/cell/cell_hold.c
+++ b/src/cell/cell_hold.c
@@ -268,7 +268,9 @@
 	if (!executor)
 		return;
 	executor->hold_in_flight = false;
-	if (answer->result == WAXWING_HOLD_ANSWERED && answer->started_ms > executor->started_ms) {
+	/* an earlier time, too: the executor's clock may have been set back */
+	if (answer->result == WAXWING_HOLD_ANSWERED && answer->started_ms &&
+	    answer->started_ms != executor->started_ms) {
 		if (executor->started_ms)
 			executor_reset(executor, now_ms);
 		executor->started_ms = answer->started_ms;
--- a/test/test_cell_fence.c
+++ b/test/test_cell_fence.c
@@ -128,6 +128,35 @@
 	tear_down(&fixture);
 }
 
+/*
+ * Guards against ends that are taken for old ones: an executor restarted while its time of day was
+ * behind that of its former start, and its restart was not noticed.
+ */
+static void test_restarted_with_earlier_time(void)
+{
+	struct fixture fixture;
+	struct waxwing_ended_run row = { .number = 1, .end = WAXWING_RUN_DONE };
+	uint64_t handle;
+
+	set_up(&fixture, false);
+	fixture.started_ms = 5;
+	handle = ready_executor(&fixture, "a", EXECUTOR_CPU);
+	for (uint64_t job = 1; job <= 2; job++) {
+		offer(&fixture, job, 1, 1000, 50, false);
+		waxwing_cell_advance(fixture.cell, fixture.now_ms);
+		answer_started(&fixture, (guint)job - 1);
+		advance(&fixture, 50);
+		row.run_id = start_at(&fixture, (guint)job - 1)->run_id;
+		answer_hold(&fixture, handle, NULL, 0, &row, 1);
+		advance(&fixture, 20);
+		g_assert_cmpuint(fixture.recorder.verdicts->len, ==, job);
+		fixture.started_ms = 3;
+		answer_hold(&fixture, handle, NULL, 0, NULL, 0);
+		advance(&fixture, 20);
+	}
+	tear_down(&fixture);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -136,5 +165,7 @@
 	g_test_add_data_func("/cell/fence/restarted", NULL, test_restarted);
 	g_test_add_data_func("/cell/fence/restarted_confirmed", "", test_restarted);
 	g_test_add_func("/cell/fence/foreign_end", test_foreign_end);
+	g_test_add_func("/cell/fence/restarted_with_earlier_time",
+			test_restarted_with_earlier_time);
 	return g_test_run();
 }
