--- a/test/test_node_return.c
+++ b/test/test_node_return.c
@@ -121,7 +121,7 @@
 		int between = (away + ZONES) % NODES; /* in the same failure domain */
 
 		g_test_message("seed %u", seed);
-		sim->durable_share = 1;
+		sim->durable_share = seed % 2 ? 1 : 0.5;
 		/* the owner calls idle executors each 5 s, and again only after its return */
 		sim_run(sim, g_rand_int_range(sim->random, 2400, 2800));
 		sim->zone_avoided[0] = true;
