An owner that was only reported, and has no entry, is gone

What callers could see: a cell without an owner for some seconds longer than needed, or until a node restarts.

Cause: a node knew the owner by another node's report only. The store had dropped its history, and the entries that the node read instead did not contain the owner's. Since the node had never read that entry, nothing told it that it was gone.

Change: once all entries are read, an owner whose entry was never read and is not newer is gone.

--- a/src/node/cell_claim.c
+++ b/src/node/cell_claim.c
@@ -39,6 +39,7 @@
 	 */
 	uint64_t unconfirmed_revision;
 	bool history_lost; /* changes after seen_revision may have been missed */
+	bool entry_read; /* the watch has delivered the known owner's entry */
 	/* revision of the entry that a claim replaces; 0: there is none */
 	uint64_t replaced_revision;
 	/* the replaced entry, if its owner released the cell; this node's own claim keeps it */
@@ -146,6 +147,7 @@
 	claim->owner.release = claim->replaced_release;
 	claim->replaced_revision = 0;
 	claim->owner.known = true;
+	claim->entry_read = false;
 	claim->owner.is_self = owner->incarnation == claim->options.incarnation;
 	if (!claim->owner.is_self)
 		set_replaced_release(claim, NULL);
@@ -230,6 +232,8 @@
 {
 	Waxwing__CellOwner *owner;
 
+	if (!item->deleted && claim->owner.known && item->revision == claim->owner.fencing_token)
+		claim->entry_read = true;
 	if (item->revision <= claim->seen_revision)
 		return;
 	if (claim->history_lost)
@@ -255,6 +259,7 @@
 		release_late_claim(claim, item->revision);
 	else
 		set_owner(claim, owner, item->revision);
+	claim->entry_read = claim->owner.known;
 	waxwing__cell_owner__free_unpacked(owner, NULL);
 }
 
@@ -280,10 +285,22 @@
 	claim->seen_revision = MAX(claim->seen_revision, revision);
 }
 
-void waxwing_cell_claim_set_history_lost(struct waxwing_cell_claim *claim, bool lost)
+void waxwing_cell_claim_set_history_read(struct waxwing_cell_claim *claim, uint64_t revision)
 {
-	claim->history_lost = lost;
-	if (!lost || claim->owner.known)
+	bool is_gone =
+		claim->owner.known && !claim->entry_read && claim->owner.fencing_token <= revision;
+
+	claim->history_lost = false;
+	if (!is_gone)
+		return;
+	end_ownership(claim);
+	set_vacant(claim, revision);
+}
+
+void waxwing_cell_claim_set_history_lost(struct waxwing_cell_claim *claim)
+{
+	claim->history_lost = true;
+	if (claim->owner.known)
 		return;
 	/* an own entry that the range contains is found there, or the next claim meets it */
 	claim->unconfirmed_revision = 0;
--- a/src/node/cell_claim.h
+++ b/src/node/cell_claim.h
@@ -94,11 +94,17 @@
 				    const char *address, uint64_t incarnation, uint64_t revision);
 
 /**
- * @lost: the store no longer has all changes since the last one that was reported, and the current
- * entries are read. A node whose entry may have been replaced meanwhile gives up its cell. Call
- * with false when the entries have been read.
+ * Called when the store no longer has all changes since the last one that was reported, and the
+ * current entries are read instead. A node whose entry may have been replaced meanwhile gives up
+ * its cell.
  */
-void waxwing_cell_claim_set_history_lost(struct waxwing_cell_claim *claim, bool lost);
+void waxwing_cell_claim_set_history_lost(struct waxwing_cell_claim *claim);
+
+/**
+ * Called when all entries as of @revision have been read, whether or not history was lost. An owner
+ * that was only reported by another node, and whose entry is not among them, is gone.
+ */
+void waxwing_cell_claim_set_history_read(struct waxwing_cell_claim *claim, uint64_t revision);
 
 /**
  * Marks the owners' entries as read up to @revision of the store: from now on, a cell without an
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -65,9 +65,16 @@
 {
 	struct waxwing_node *node = data;
 
-	for (guint i = 0; i < node->cells->len; i++)
-		waxwing_cell_claim_set_history_lost(
-			((struct node_cell *)node->cells->pdata[i])->claim, lost);
+	for (guint i = 0; i < node->cells->len; i++) {
+		struct waxwing_cell_claim *claim =
+			((struct node_cell *)node->cells->pdata[i])->claim;
+
+		if (lost)
+			waxwing_cell_claim_set_history_lost(claim);
+		else
+			waxwing_cell_claim_set_history_read(
+				claim, waxwing_store_watch_revision(node->owner_watch));
+	}
 }
 
 static struct waxwing_store_watch *
--- a/test/cell_fixture.h
+++ b/test/cell_fixture.h
@@ -150,10 +150,11 @@
 	int64_t started_ms; /* reported in answers to holds; 0: unknown */
 };
 
-static void set_up_cell(struct fixture *fixture, bool took_over, bool recovering)
+static void set_up_cell_with(struct fixture *fixture, const struct waxwing_cell_ops *cell_ops,
+			     bool took_over, bool recovering)
 {
 	struct waxwing_cell_options options = {
-		.ops = &recording_ops,
+		.ops = cell_ops,
 		.data = &fixture->recorder,
 		.name = "cell",
 		.fencing_token = 7,
@@ -176,7 +177,18 @@
 	fixture->cell = waxwing_cell_create(fixture->now_ms, &options);
 }
 
-static void set_up(struct fixture *fixture, bool took_over)
+static void set_up_cell(struct fixture *fixture, bool took_over, bool recovering)
+{
+	set_up_cell_with(fixture, &recording_ops, took_over, recovering);
+}
+
+static G_GNUC_UNUSED void set_up_with_ops(struct fixture *fixture,
+					  const struct waxwing_cell_ops *cell_ops)
+{
+	set_up_cell_with(fixture, cell_ops, false, false);
+}
+
+static G_GNUC_UNUSED void set_up(struct fixture *fixture, bool took_over)
 {
 	set_up_cell(fixture, took_over, false);
 }
@@ -190,7 +202,7 @@
 	g_array_free(fixture->recorder.states, TRUE);
 }
 
-static void advance(struct fixture *fixture, int64_t ms)
+static G_GNUC_UNUSED void advance(struct fixture *fixture, int64_t ms)
 {
 	for (int64_t passed = 0; passed < ms; passed += 5) {
 		fixture->now_ms += 5;
@@ -239,7 +251,8 @@
 }
 
 /* Adds an executor that has answered a hold; returns its handle. */
-static uint64_t ready_executor(struct fixture *fixture, const char *id, uint32_t cpu_milli)
+static G_GNUC_UNUSED uint64_t ready_executor(struct fixture *fixture, const char *id,
+					     uint32_t cpu_milli)
 {
 	uint64_t handle;
 
--- a/test/test_node_return.c
+++ b/test/test_node_return.c
@@ -11,7 +11,7 @@
 /* Until the lease of a lost owner's entry has ended and another node has claimed the cell. */
 #define MAX_TAKEOVER_MS 2500
 /* Less than nodes of other failure domains wait before they claim the cell. */
-#define AWAY_MS		     4000
+#define MAX_VACANT_MS	     4000
 #define OTHER_NODES_LATER_MS 1500
 #define MAX_FREEZE_MS	     6000
 #define SHORT_TASK_MS	     30
@@ -77,6 +77,12 @@
 	host->frozen_until_ms = sim_now(sim);
 }
 
+static void wake_without_history(struct cluster_sim *sim, struct sim_host *host)
+{
+	store_forget_history(sim);
+	wake(sim, host);
+}
+
 struct absence {
 	const char *path;
 	void (*begin)(struct cluster_sim *sim, struct sim_host *host);
@@ -106,14 +112,15 @@
 /*
  * Guards against accepted jobs that are answered "no such job", or run again after they ended: an
  * owner that was away claimed its cell again and went on with its state from before, although
- * another node had owned the cell and accepted jobs in between (review/6).
+ * another node had owned the cell and accepted jobs in between (review/6). Also guards against a
+ * cell that stays without an owner: the owner in between was known by other nodes' reports only, and
+ * its entry was gone when the store had dropped its history.
  */
 static void test_owner_returns(gconstpointer data)
 {
 	const struct absence *absence = data;
 	uint32_t first = seed_from_env(FIRST_SEED_VARIABLE, 1);
 	uint32_t last = seed_from_env(LAST_SEED_VARIABLE, SEEDS);
-	uint32_t returns = 0;
 
 	for (uint32_t seed = first; seed <= last; seed++) {
 		struct cluster_sim *sim = create_settled_sim(seed);
@@ -132,7 +139,7 @@
 			sim_run(sim, g_rand_int_range(sim->random, 0, 1500));
 		}
 		absence->end(sim, &sim->hosts[away]);
-		returns += await_owner(sim, away, AWAY_MS);
+		g_assert_true(await_owner(sim, away, MAX_VACANT_MS));
 		sim_run(sim, VISIBLE_AFTER_MS);
 		sim->zone_avoided[0] = false;
 		if (!sim->hosts[between].node)
@@ -141,7 +148,6 @@
 		assert_all_answered(sim);
 		sim_destroy(sim);
 	}
-	g_assert_cmpuint(returns, >, (last - first) / 2);
 }
 
 int main(int argc, char **argv)
@@ -153,7 +159,7 @@
 		{ "/node_return/cut_history_lost", cut_off, reconnect_without_history },
 		{ "/node_return/cut_then_outage", cut_off, reconnect_after_outage },
 		{ "/node_return/freeze", freeze, wake },
-		{ "/node_return/freeze_history_lost", freeze, reconnect_without_history },
+		{ "/node_return/freeze_history_lost", freeze, wake_without_history },
 	};
 
 	g_test_init(&argc, &argv, NULL);
