--- a/src/cell/cell_executor.c
+++ b/src/cell/cell_executor.c
@@ -69,8 +69,8 @@
 
 /*
  * Returns true if a task of the job may start on the executor. If a successor may own the cell, the
- * executor must still accept this owner's token. One that has restarted does so until the successor
- * calls it again, so durable tasks wait until it would have.
+ * executor must still accept this owner's token. An executor that has restarted accepts any token
+ * until the successor has called it, so durable tasks wait as long as that call can take.
  */
 bool executor_may_start(const struct waxwing_cell *cell, const struct executor *executor,
 			const struct cell_job *job, int64_t now_ms)
--- a/src/dispatcher/dispatcher_forward.c
+++ b/src/dispatcher/dispatcher_forward.c
@@ -19,8 +19,8 @@
  */
 #define MAX_HOPS 3
 /*
- * How long after its start an instance waits to hear who answers for an id that it does not know:
- * some rounds of heartbeats, of which a few may be lost.
+ * How long after its start an instance waits to hear who answers for an id that it does not know.
+ * Peers tell it in heartbeats, by default every 250 ms, some of which may be lost.
  */
 #define FIRST_NEWS_MS 2000
 /* Deadline assumed for a forwarded job that has none. */
--- a/src/node/cell_claim.c
+++ b/src/node/cell_claim.c
@@ -124,8 +124,8 @@
 }
 
 /*
- * Ends this node's ownership. Another node may have owned the cell meanwhile, or does, so nothing
- * that this node knows of the cell holds any more.
+ * Ends this node's ownership, and so drops its state of the cell: another node owns the cell, or may
+ * have owned it meanwhile.
  */
 static void end_ownership(struct waxwing_cell_claim *claim)
 {
@@ -302,7 +302,7 @@
 	claim->history_lost = true;
 	if (claim->owner.known)
 		return;
-	/* an own entry that the range contains is found there, or the next claim meets it */
+	/* if the store still has that entry, the range delivers it */
 	claim->unconfirmed_revision = 0;
 	end_ownership(claim);
 }
