Settings: Bounds.EvacuationMs

Cause: a deployment states with this field that its operators evacuate failure domains.

Change: the field is read as evacuation_ms; 0, the default, keeps the feature off.

--- a/test/test_platform_adapter.c
+++ b/test/test_platform_adapter.c
@@ -23,6 +23,7 @@
 				     "Bounds.HoldMaxMs=1000\n"
 				     "Bounds.StopMs=50\n"
 				     "Bounds.GraceS=6\n"
+				     "Bounds.EvacuationMs=5000\n"
 				     "Bounds.FarFactor=1.5\n"
 				     "platform.Address=10.200.1.7:8169\n"
 				     "platform.TtlMinMs=1000\n"
@@ -41,6 +42,7 @@
 	g_assert_null(settings->zones[2]);
 	g_assert_cmpuint(settings->shutdown_grace_ms, ==, 6000);
 	g_assert_cmpuint(settings->max_lease_ms, ==, 1000);
+	g_assert_cmpuint(settings->evacuation_ms, ==, 5000);
 	g_assert_cmpfloat(settings->remote_data_factor, ==, 1.5);
 	g_assert_cmpfloat(settings->cpu_share, ==, 0.25);
 	platform_settings_destroy(settings);
@@ -92,6 +94,19 @@
 	return g_string_free(text, FALSE);
 }
 
+/* Without its field, evacuation must stay off: the node's calls to the store would change. */
+static void test_settings_no_evacuation(void)
+{
+	struct waxwing_error error = WAXWING_ERROR_INIT;
+	char *text = replace_setting("Bounds.EvacuationMs", "");
+	struct platform_settings *settings = platform_settings_parse(text, &error);
+
+	g_assert_nonnull(settings);
+	g_assert_cmpuint(settings->evacuation_ms, ==, 0);
+	platform_settings_destroy(settings);
+	g_free(text);
+}
+
 static void test_settings_faulty(void)
 {
 	static const struct {
@@ -109,6 +124,7 @@
 		{ "platform.Address", "", WAXWING_ERROR_MISSING },
 		{ "Bounds.HoldMaxMs", "soon", WAXWING_ERROR_TYPE },
 		{ "Bounds.GraceS", "-1", WAXWING_ERROR_TYPE },
+		{ "Bounds.EvacuationMs", "5 s", WAXWING_ERROR_TYPE },
 		{ "Limits.CpuShare", "nan", WAXWING_ERROR_TYPE },
 	};
 
@@ -544,6 +560,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/platform/settings", test_settings);
+	g_test_add_func("/platform/settings_no_evacuation", test_settings_no_evacuation);
 	g_test_add_func("/platform/settings_faulty", test_settings_faulty);
 	g_test_add_func("/platform/settings_syntax", test_settings_syntax);
 	g_test_add_func("/platform/executor_entry", test_executor_entry);
