store_watch: age of a change

Cause: an owner of an evacuated cell may go on for a short time if the operator's order is recent, and must not if it was found by reading the range.

Change: waxwing_store_watch_change_age_ms() tells the time since the previous answer, while a change is reported. Calls and their times stay as they are.

--- a/src/node/store_watch.c
+++ b/src/node/store_watch.c
@@ -21,6 +21,8 @@
 	uint32_t retry_ms;
 	uint32_t min_interval_ms;
 	int64_t sent_ms;
+	int64_t answered_ms; /* last answer to a call, apart from the one being processed */
+	bool reports_events; /* changes of a watch call are being reported */
 	bool synced; /* false: the range must be read first */
 	bool ever_synced;
 	bool call_pending; /* whether the call numbered call_number is pending */
@@ -182,10 +184,13 @@
 	} else if (!watch->synced) {
 		handle_page(watch, answer);
 	} else {
+		watch->reports_events = true;
 		for (size_t i = 0; i < answer->item_count; i++)
 			apply_item(watch, &answer->items[i]);
+		watch->reports_events = false;
 		watch->revision = MAX(watch->revision, answer->revision);
 	}
+	watch->answered_ms = now_ms;
 	watch->retry_ms = RETRY_MIN_MS;
 	watch->options.reached(watch->options.data, true);
 	if (watch->synced)
@@ -235,6 +240,13 @@
 	return watch->ever_synced;
 }
 
+int64_t waxwing_store_watch_change_age_ms(const struct waxwing_store_watch *watch)
+{
+	if (!watch->reports_events)
+		return INT64_MAX;
+	return waxwing_clock_now(watch->options.clock) - watch->answered_ms;
+}
+
 void waxwing_store_watch_set_interval(struct waxwing_store_watch *watch, uint32_t interval_ms)
 {
 	watch->next_call_ms += (int64_t)interval_ms - watch->min_interval_ms;
--- a/src/node/store_watch.h
+++ b/src/node/store_watch.h
@@ -54,6 +54,13 @@
 /** Returns the store revision up to which all changes are known; 0: the range is being read. */
 uint64_t waxwing_store_watch_revision(const struct waxwing_store_watch *watch);
 
+/**
+ * May be called from changed(). Returns the time since the call before the one that reported the
+ * change was answered: the change is not older, apart from that answer's way. INT64_MAX: the change
+ * was found by reading the range, and its age is not known.
+ */
+int64_t waxwing_store_watch_change_age_ms(const struct waxwing_store_watch *watch);
+
 /** Returns true once the whole range has been read since the watch became active. */
 bool waxwing_store_watch_synced(const struct waxwing_store_watch *watch);
 
