Cell: evacuation

Cause: an operator must be able to stop all starts on the executors of a failure domain.

Change: waxwing_cell_set_evacuated() refuses offers, ends starts at a given time, and answers best-effort jobs truthfully: refused if nothing was started, given up if they have begun and have no run left. Running tasks continue, and durable jobs stay. waxwing_cell_set_starts_held() is for owners that have not read the orders.

--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -372,6 +372,21 @@
 				   const struct waxwing_permit_query *query,
 				   const struct waxwing_permit_answer *answer);
 
+/**
+ * Sets whether the operator has ordered that nothing more is sent to the cell's executors.
+ * - Offers are refused with WAXWING_ERROR_NO_UPSTREAM, except those of jobs that may have runs.
+ * - Jobs that were accepted before start tasks until @start_until_ms; a repeated call can only
+ *   shorten that time. Running tasks continue.
+ * - Then a best-effort job that has no runs is refused if no task of it was started, and otherwise
+ *   given up.
+ * - Durable jobs stay until the order is withdrawn.
+ */
+void waxwing_cell_set_evacuated(struct waxwing_cell *cell, int64_t now_ms, bool evacuated,
+				int64_t start_until_ms);
+
+/** While @held, no task starts: the owner has not read yet whether the cell is evacuated. */
+void waxwing_cell_set_starts_held(struct waxwing_cell *cell, bool held);
+
 /** Handles timeouts and sends all orders that are due. Call it after events and at each tick. */
 void waxwing_cell_advance(struct waxwing_cell *cell, int64_t now_ms);
 
--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -771,6 +771,8 @@
 				 WAXWING_ERROR_OUTCOME_UNKNOWN, MIN_RETRY_AFTER_MS);
 		return;
 	}
+	if (!may_run && evacuation_refuse_offer(cell, now_ms, issuer, offer))
+		return;
 	for (size_t i = 0; i < spec->n_steps && !may_run; i++) {
 		if (!step_fits_somewhere(cell, spec, spec->steps[i]) ||
 		    (spec->permits_needed && !cell->options.permits_available)) {
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -461,7 +461,7 @@
 	GSequenceIter *iter = g_sequence_get_begin_iter(cell->ready_jobs);
 	bool all_known;
 
-	if (g_sequence_iter_is_end(iter))
+	if (g_sequence_iter_is_end(iter) || !evacuation_allows_starts(cell, now_ms))
 		return;
 	for (guint i = 0; i < cell->executors->len; i++)
 		((struct executor *)cell->executors->pdata[i])->reserved_for = NULL;
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -262,6 +262,10 @@
 	int64_t last_appeared_ms; /* when an executor was last added after creation; 0: never */
 	uint64_t next_handle;
 	uint32_t runs;
+	/* evacuation, see cell_evacuation.c: */
+	bool evacuated; /* no task starts from start_until_ms on; offers are refused */
+	bool starts_held; /* whether the cell is evacuated is not known yet; no task starts */
+	int64_t start_until_ms;
 	/* rate of the work admitted in time, in cores at speed 1, by priority; the last is all lower */
 	double inflow_cores[ADMISSION_PRIORITIES];
 	int64_t inflow_updated_ms;
@@ -371,6 +375,13 @@
 
 void task_set_checkpoint(struct task *task, const char *checkpoint);
 
+/* cell_evacuation.c: nothing more is sent to the cell's executors, by the operator's order */
+bool evacuation_allows_starts(const struct waxwing_cell *cell, int64_t now_ms);
+bool evacuation_refuse_offer(struct waxwing_cell *cell, int64_t now_ms, uint64_t issuer,
+			     Waxwing__JobOffer *offer); /* false: not evacuated, not answered */
+/* Ends a best-effort job that can no longer run here. Returns true if it did. */
+bool evacuation_end_job(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms);
+
 /* cell_long_running.c: tasks that run until their job is cancelled */
 void long_running_ended(struct waxwing_cell *cell, struct cell_run *run, enum waxwing_run_end end,
 			int64_t now_ms);
--- a/src/cell/cell_scan.c
+++ b/src/cell/cell_scan.c
@@ -57,6 +57,8 @@
 			occurrences_open_scheduled(cell, job, now_ms);
 		return;
 	}
+	if (evacuation_end_job(cell, job, now_ms))
+		return;
 	/* more urgent jobs have taken its place, or executors were lost */
 	if (!job->durable && !job->started &&
 	    (double)now_ms + job_work_ms(job) > (double)job_give_up_ms(job)) {
