Node: evacuation of failure domains

Cause: a key op/evacuate/ZONE in the store must stop all starts in ZONE within Bounds.EvacuationMs.

Change: with that setting, the watch of the configuration follows op/ and passes the orders to node_evacuation.c. Owners apply them to their cells, also at a takeover, and start nothing before they have read them. Issuers leave evacuated cells out; with none left, best-effort jobs are refused at once. Durable jobs are offered there last, since a cell that has stored them confirms them. Watch calls are at least 200 ms apart then, so that other keys below op/ add none. Without the setting, calls and decisions are as before.

--- a/src/ctl/ctl_story.c
+++ b/src/ctl/ctl_story.c
@@ -83,16 +83,17 @@
 
 /*
  * Returns true if the event may explain what happened to the job: it is a change of a cell's owner,
- * loss of the store, an unresponsive issuer or executor, or a stall or restart of a node, and its
- * cell, executor or node is in @names.
+ * loss of the store, an evacuation, an unresponsive issuer or executor, or a stall or restart of a
+ * node, and its cell, executor or node is in @names.
  */
 static bool is_context_event(const struct log_record *record, GHashTable *names)
 {
-	static const char *const events[] = { "cell_taken",    "cell_given_up",	  "cell_fenced",
-					      "store_lost",    "store_regained",  "issuer_silent",
-					      "leases_out",    "executor_silent", "executor_back",
-					      "executor_gone", "stalled",	  "started",
-					      "stopping",      "stopped" };
+	static const char *const events[] = {
+		"cell_taken",	  "cell_given_up", "cell_fenced",      "store_lost",
+		"store_regained", "issuer_silent", "leases_out",       "executor_silent",
+		"executor_back",  "executor_gone", "stalled",	       "started",
+		"stopping",	  "stopped",	   "evacuation_begun", "evacuation_ended"
+	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(events); i++)
 		if (strcmp(get_field(record, "event"), events[i]) == 0)
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -24,6 +24,12 @@
 #define WATCH_WAIT_MS	      1200
 #define ENTRIES_WATCH_WAIT_MS 800
 
+/*
+ * Minimum interval between watch calls of the configuration and the evacuations. Other keys below
+ * their common prefix may change often and must not add calls to the store.
+ */
+#define OPERATOR_INTERVAL_MS 200
+
 /* A loop iteration of this duration is logged: the machine was suspended or short of CPU time. */
 #define STALL_MS 250
 
@@ -50,6 +56,12 @@
 	}
 }
 
+static void operator_entry_changed(void *data, const struct waxwing_store_item *item)
+{
+	if (!node_evacuation_changed(data, item))
+		node_routing_changed(data, item);
+}
+
 static void owner_entry_changed(void *data, const struct waxwing_store_item *item)
 {
 	struct waxwing_node *node = data;
@@ -141,6 +153,7 @@
 struct waxwing_node *waxwing_node_create(const struct waxwing_node_options *options)
 {
 	struct waxwing_node *node = g_new0(struct waxwing_node, 1);
+	char *routing_prefix = node_evacuation_watch_prefix(options);
 
 	node->options = *options;
 	node->clock = options->clock;
@@ -158,7 +171,10 @@
 		g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, node_pending_job_free);
 	node_cells_create(node);
 	node->routing_watch =
-		create_watch(node, options->routing_key, WATCH_WAIT_MS, node_routing_changed, NULL);
+		create_watch(node, routing_prefix, WATCH_WAIT_MS, operator_entry_changed, NULL);
+	if (options->evacuation_prefix)
+		waxwing_store_watch_set_interval(node->routing_watch, OPERATOR_INTERVAL_MS);
+	g_free(routing_prefix);
 	node->owner_watch = create_watch(node, WAXWING_CELL_OWNER_PREFIX, WATCH_WAIT_MS,
 					 owner_entry_changed, owner_history_lost);
 	node->executor_watch = create_watch(node, options->executor_prefix, ENTRIES_WATCH_WAIT_MS,
@@ -305,6 +321,7 @@
 		(long long)(node->routing ? now_ms - node->routing_since_ms : 0),
 		(long long)(node->store_lost_ms ? now_ms - node->store_lost_ms : 0));
 	print_answer_metrics(node, text);
+	node_evacuation_print(node, text, now_ms);
 	for (guint i = 0; i < node->cells->len; i++) {
 		struct node_cell *cell = node->cells->pdata[i];
 		struct waxwing_cell_stats stats;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -55,6 +55,14 @@
 	/** Parses a configuration, which the caller then owns. Returns null if it is invalid. */
 	struct waxwing_routing *(*read_routing)(const struct waxwing_store_item *item);
 	const char *routing_key; /**< the store's key for the configuration */
+	/**
+	 * Prefix of the keys that evacuate failure domains, followed by the domain's name; null:
+	 * there are none. It and routing_key must have a part up to a slash in common, whose keys
+	 * one watch follows.
+	 */
+	const char *evacuation_prefix;
+	/** time from an evacuation's acknowledgement after which no task starts in the domain */
+	uint32_t evacuation_ms;
 	/** prefix of the executors' keys, followed by the executor's id */
 	const char *executor_prefix;
 };
--- a/src/node/node_jobs.c
+++ b/src/node/node_jobs.c
@@ -80,12 +80,26 @@
 	return cost;
 }
 
+/* Returns the cells of evacuated failure domains, as a bit set. */
+static uint32_t evacuated_cells(const struct waxwing_node *node)
+{
+	uint32_t cells = 0;
+
+	for (guint i = 0; i < node->cells->len; i++) {
+		const struct node_cell *cell = node->cells->pdata[i];
+
+		if (cell->evacuated)
+			cells |= node_cell_bit(cell);
+	}
+	return cells;
+}
+
 /*
  * Returns the reachable cell that is expected to finish the job soonest, except @excluded_cells (a
  * bit set); null: none.
  */
-static struct node_cell *choose_cell(struct waxwing_node *node, const Waxwing__Job *job,
-				     uint32_t excluded_cells, int64_t now_ms)
+static struct node_cell *choose_among(struct waxwing_node *node, const Waxwing__Job *job,
+				      uint32_t excluded_cells, int64_t now_ms)
 {
 	struct node_cell *best = NULL;
 	double best_cost = 0;
@@ -106,6 +120,21 @@
 	return best;
 }
 
+/*
+ * The same without the cells of evacuated failure domains. A durable job is offered to them last:
+ * one that has accepted the job before confirms it.
+ */
+static struct node_cell *choose_cell(struct waxwing_node *node, const Waxwing__Job *job,
+				     uint32_t excluded_cells, int64_t now_ms)
+{
+	uint32_t evacuated = evacuated_cells(node);
+	struct node_cell *best = choose_among(node, job, excluded_cells | evacuated, now_ms);
+
+	if (best || !evacuated || !job->kept)
+		return best;
+	return choose_among(node, job, excluded_cells, now_ms);
+}
+
 /*
  * Subtracts the CPU that the job needs from the cell's free capacity until the owner's next report.
  */
@@ -485,6 +514,11 @@
 		return;
 	}
 	offer_to_best_cell(node, pending, now_ms);
+	if (!pending->cell && !pending->job->kept && node_evacuation_of_all(node)) {
+		node->refused_evacuated++;
+		refuse_job(node, pending, false, WAXWING_ERROR_NO_UPSTREAM);
+		return;
+	}
 	if (!pending->cell && (double)age_ms >= no_cell_timeout_ms(node, pending, now_ms))
 		refuse_job(node, pending, false, WAXWING_ERROR_NOT_READY);
 }
--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -390,6 +390,7 @@
 	cell->journal = open_journal(cell, token);
 	cell->issuers = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	node->takeovers++;
+	node_evacuation_apply(cell, cell->taken_ms);
 	node_release_adopt(cell, release);
 	node_entries_use(node);
 	waxwing_event("cell_taken",
@@ -509,6 +510,7 @@
 		check_issuer(cell, value, now_ms);
 	waxwing_cell_set_owned_until(cell->owned, now_ms,
 				     waxwing_cell_claim_lease_until_ms(cell->claim));
+	node_evacuation_apply(cell, now_ms);
 	waxwing_cell_set_wall_clock_offset(cell->owned, node_day_offset(cell->node));
 	waxwing_cell_advance(cell->owned, now_ms);
 	waxwing_journal_run(cell->journal);
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -41,6 +41,11 @@
 	bool rejects_durable_jobs; /* the owner currently refuses durable jobs */
 	bool is_standby; /* the last owner chose this node to replace it */
 	GHashTable *waiting_jobs; /* queue -> number of waiting jobs */
+	/* evacuation of the failure domain, see node_evacuation.c: */
+	bool evacuated;
+	uint64_t evacuation_revision; /* of the last change; 0: there was none */
+	int64_t evacuation_changed_ms; /* when the last change was read */
+	int64_t start_until_ms; /* if evacuated: until when an owner may start tasks */
 	/* used while this node owns the cell: */
 	struct waxwing_cell *owned; /* null: this node is not the owner */
 	struct waxwing_journal *journal; /* null: this node is not the owner */
@@ -129,6 +134,8 @@
 	uint64_t not_completed;
 	uint64_t takeovers;
 	uint64_t withdrawals_unconfirmed;
+	uint64_t evacuations_refused; /* changes that named an unknown failure domain */
+	uint64_t refused_evacuated; /* jobs refused because all failure domains were evacuated */
 };
 
 /* node_cells.c */
@@ -158,6 +165,13 @@
 void node_routing_changed(void *data, const struct waxwing_store_item *item);
 void node_routing_run(struct waxwing_node *node, int64_t now_ms);
 
+/* node_evacuation.c: failure domains that the operator has evacuated */
+char *node_evacuation_watch_prefix(const struct waxwing_node_options *options);
+bool node_evacuation_changed(struct waxwing_node *node, const struct waxwing_store_item *item);
+bool node_evacuation_of_all(const struct waxwing_node *node);
+void node_evacuation_apply(struct node_cell *cell, int64_t now_ms);
+void node_evacuation_print(const struct waxwing_node *node, GString *text, int64_t now_ms);
+
 /* node_entries.c: the executors' entries, which only owners and their standbys follow */
 void node_entries_create(struct waxwing_node *node);
 void node_entries_destroy(struct waxwing_node *node);
--- a/test/node_sim_executors.h
+++ b/test/node_sim_executors.h
@@ -301,6 +301,9 @@
 		MAX(executor->lease_expires_ms,
 		    MIN(call->until_ms, executor_clock(sim, executor) + MAX_LEASE_MS));
 	check_start(sim, executor, &call->run_id);
+	executor->last_start_ms = sim_now(sim);
+	if (sim->run_started)
+		sim->run_started(sim, call->host_index, executor->zone);
 	run.done_ms = sim_now(sim) + (int64_t)((job ? job->work_ms : 50) / executor->speed);
 	g_array_append_val(executor->runs, run);
 	return WAXWING_START_RUNNING;
--- a/test/node_sim_nodes.h
+++ b/test/node_sim_nodes.h
@@ -150,6 +150,8 @@
 		.read_routing = sim_read_routing,
 		.routing_key = "op/config",
 		.executor_prefix = "servers/",
+		.evacuation_prefix = sim_evacuation_ms ? "op/evacuate/" : NULL,
+		.evacuation_ms = sim_evacuation_ms,
 	};
 
 	host->incarnation = (uint64_t)g_rand_int(sim->random) << 32 | (uint64_t)index << 8 | 1;
--- a/test/node_sim_store.h
+++ b/test/node_sim_store.h
@@ -366,7 +366,8 @@
 		store_answer(call, WAXWING_STORE_REFUSED);
 		return;
 	}
-	if (sim->store_unresponsive || host->store_requests_lost) {
+	if (sim->store_unresponsive || host->store_requests_lost ||
+	    (host->operator_calls_lost && call->prefix && g_str_has_prefix(call->prefix, "op/"))) {
 		store_drop_call(call);
 		return;
 	}
@@ -406,6 +407,10 @@
 
 	if (strcmp(prefix, "servers/") == 0)
 		host->list_read_ms = sim_now(host->sim);
+	if (g_str_has_prefix(prefix, "op/")) {
+		host->operator_calls++;
+		g_strlcpy(host->operator_prefix, prefix, sizeof(host->operator_prefix));
+	}
 	if (strcmp(prefix, "cells/") == 0)
 		host->owners_read_ms = sim_now(host->sim);
 }
--- a/test/node_sim_types.h
+++ b/test/node_sim_types.h
@@ -43,6 +43,9 @@
 #define MAX_EARLY_JUMPED_MS 5000
 #define STORE_WATCH_KEYS    64
 
+/* evacuation_ms of nodes that are started; 0: they know no evacuations */
+static uint32_t sim_evacuation_ms;
+
 struct cluster_sim;
 
 struct sim_event {
@@ -99,6 +102,10 @@
 	bool drops_incoming; /* messages from other nodes are lost */
 	int64_t receive_delay_ms; /* delay until the node reads a message */
 	int64_t list_read_ms; /* last time at which the node called for executors' entries */
+	bool operator_calls_lost; /* calls for the keys below "op/" are not answered */
+	/* calls for the keys below "op/", and the prefix of the last of them */
+	uint32_t operator_calls;
+	char operator_prefix[32];
 	int64_t owners_read_ms; /* the same for the owners' entries */
 	char name[32];
 	char address[32];
@@ -128,6 +135,7 @@
 	double clock_rate; /* speed of the executor's clock; 0.98: 2% slow */
 	int64_t relist_ms; /* time at which the expired entry returns; 0: the entry exists */
 	int64_t started_ms;
+	int64_t last_start_ms; /* when a run last started; 0: never */
 	bool powered_off; /* neither runs tasks nor answers */
 	bool isolated; /* unreachable from all nodes; continues to run tasks */
 	bool isolated_from[NODES]; /* unreachable from this node */
@@ -200,6 +208,8 @@
 	GRand *random;
 	/* called with each message before it is delivered; null: none */
 	void (*corrupt_message)(struct sim_host *host, const struct sim_packet *packet);
+	/* called when a run starts, with the node that ordered it; null: none */
+	void (*run_started)(struct cluster_sim *sim, int host_index, int zone);
 	/* state of the store: */
 	GHashTable *entries; /* key -> struct store_entry */
 	GPtrArray *history; /* struct store_event */
