Node: lost answers do not delay an evacuation past its bound

Cause: a lost answer of the watch is noticed after 2.2 s (1.2 s wait, 1 s timeout). With three lost in a row, the last start came 4.9 s after the order in the simulation, and a start order may take effect for another second.

Change: with evacuations on, a watch call that follows one without an answer does not wait at the store, so its loss is noticed after 1 s.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -99,6 +99,9 @@
 		.clock = node->clock,
 		.prefix = prefix,
 		.wait_ms = wait_ms,
+		/* only evacuations have a bound that lost answers must not extend */
+		.poll_after_failure = node->options.evacuation_prefix != NULL &&
+				      changed == operator_entry_changed,
 		.changed = changed,
 		.reached = store_reached,
 		.history_lost = history_lost,
--- a/src/node/store_watch.c
+++ b/src/node/store_watch.c
@@ -22,6 +22,7 @@
 	uint32_t min_interval_ms;
 	int64_t sent_ms;
 	int64_t answered_ms; /* last answer to a call, apart from the one being processed */
+	bool failed; /* the last call was not answered, or refused */
 	bool reports_events; /* changes of a watch call are being reported */
 	bool synced; /* false: the range must be read first */
 	bool ever_synced;
@@ -165,6 +166,7 @@
 
 static void back_off(struct waxwing_store_watch *watch, int64_t now_ms)
 {
+	watch->failed = true;
 	watch->next_call_ms = now_ms + watch->retry_ms;
 	watch->retry_ms = MIN(watch->retry_ms * 2, RETRY_MAX_MS);
 	watch->options.reached(watch->options.data, false);
@@ -191,6 +193,7 @@
 		watch->revision = MAX(watch->revision, answer->revision);
 	}
 	watch->answered_ms = now_ms;
+	watch->failed = false;
 	watch->retry_ms = RETRY_MIN_MS;
 	watch->options.reached(watch->options.data, true);
 	if (watch->synced)
@@ -212,6 +215,11 @@
 		handle_watch_answer(watch, answer);
 }
 
+static uint32_t watch_wait_ms(const struct waxwing_store_watch *watch)
+{
+	return watch->failed && watch->options.poll_after_failure ? 0 : watch->options.wait_ms;
+}
+
 void waxwing_store_watch_run(struct waxwing_store_watch *watch)
 {
 	struct waxwing_store_callback reply = { watch_call_answered, NULL };
@@ -229,7 +237,7 @@
 	watch->calls_in_flight++;
 	watch->sent_ms = waxwing_clock_now(watch->options.clock);
 	if (watch->synced)
-		store->ops->watch(store, watch->prefix, watch->revision, watch->options.wait_ms,
+		store->ops->watch(store, watch->prefix, watch->revision, watch_wait_ms(watch),
 				  reply);
 	else
 		store->ops->range(store, watch->prefix, watch->after_key, reply);
--- a/src/node/store_watch.h
+++ b/src/node/store_watch.h
@@ -18,6 +18,11 @@
 	const struct waxwing_clock *clock;
 	const char *prefix;
 	uint32_t wait_ms; /**< how long a watch call waits at the store for a change */
+	/**
+	 * After a watch call without an answer, the next one does not wait at the store, so that the
+	 * loss of its answer is noticed soon. Costs one call for each failure.
+	 */
+	bool poll_after_failure;
 	/** Called for an entry that is new, changed or (item->deleted) removed. */
 	void (*changed)(void *data, const struct waxwing_store_item *item);
 	/** Called after each call, with whether the store answered it. */
--- a/test/test_node_evacuation.c
+++ b/test/test_node_evacuation.c
@@ -319,6 +319,49 @@
 	sim_destroy(sim);
 }
 
+/* Keeps durable jobs waiting in all cells for @ms. */
+static void submit_many(struct cluster_sim *sim, int64_t ms)
+{
+	for (int64_t passed = 0; passed < ms; passed += ARRIVAL_INTERVAL_MS) {
+		for (int i = 0; i < 3; i++)
+			client_create(sim);
+		sim_run(sim, ARRIVAL_INTERVAL_MS);
+	}
+}
+
+/*
+ * A store that loses some answers, here three in a row to the owner, must not extend the bound. A
+ * start order may take effect until its lease has expired, so the last one is sent that much earlier.
+ */
+static void test_answers_lost(void)
+{
+	for (uint32_t seed = 1; seed <= 4; seed++) {
+		struct cluster_sim *sim = create_sim(seed);
+		struct sim_host *owner = &sim->hosts[find_owner(sim, 0)];
+		uint32_t calls = owner->operator_calls;
+		int64_t ordered_ms;
+
+		sim->durable_share = 1;
+		owner->operator_calls_lost = true;
+		while (owner->operator_calls == calls)
+			submit_many(sim, ARRIVAL_INTERVAL_MS);
+		ordered_ms = sim_now(sim);
+		evacuate(sim, 0);
+		while (owner->operator_calls < calls + 3)
+			submit_many(sim, ARRIVAL_INTERVAL_MS);
+		sim_run(sim, 2 * STORE_DELAY_MS);
+		owner->operator_calls_lost = false;
+		g_assert_cmpint(last_start_ms(sim, 0), >, sim_now(sim) - 500);
+		submit_many(sim, 4000);
+		g_assert_cmpint(last_start_ms(sim, 0), <=,
+				ordered_ms + EVACUATION_MS - MAX_LEASE_MS);
+		withdraw_order(sim, 0);
+		sim_run(sim, 2 * MAX_SETTLE_MS);
+		assert_all_answered(sim);
+		sim_destroy(sim);
+	}
+}
+
 /* A domain that does not exist must be reported and must change nothing. */
 static void test_unknown_zone(void)
 {
@@ -452,6 +495,7 @@
 	g_test_add_func("/node_evacuation/orders_unread", test_orders_unread);
 	g_test_add_func("/node_evacuation/history_lost", test_history_lost);
 	g_test_add_func("/node_evacuation/old_order", test_old_order);
+	g_test_add_func("/node_evacuation/answers_lost", test_answers_lost);
 	g_test_add_func("/node_evacuation/unknown_zone", test_unknown_zone);
 	g_test_add_func("/node_evacuation/store_calls", test_store_calls);
 	g_test_add_func("/node_evacuation/rule_under_faults", test_rule_under_faults);
