A hold without an answer is hedged by a second one

Cause: a lost hold took its executor out of use and hid the ends of its runs for 800 ms: 250 ms wait, 350 ms timeout and 200 ms to the next.

Change: once a hold is overdue by the learned timeout, a second one goes out, without wait or acknowledgement; one at a time for each executor. The executor is unresponsive only when both were not answered. An answer names its call, by whose own time of sending and acknowledgement it is judged. One that may be older than a state already received, by the executor's clock, concludes nothing about runs; its ends count by number. After a pause of the owner nothing is hedged for 30 ms. A hold that is lost while the other is answered counts 0.25 in the circuit breaker, a further one on the executor within 1 s fully. With the longest timeout nothing is hedged, so calls are as before while few answers are known.

Tests: test_cell_hedge. lost_hold, both_lost, overtaken, missing_by_own_call and all_silent fail without the hedge; overtaken without the comparison of clocks; missing_by_own_call if runs are judged by the newest call's time; owner_paused without the pause.

--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -30,6 +30,14 @@
  */
 #define WAXWING_PEER_TIMEOUT_MS 650
 
+/**
+ * Longest times in milliseconds that the caller waits for an executor's answer, in addition to the
+ * wait that was requested.
+ */
+#define WAXWING_START_TIMEOUT_MS 200
+#define WAXWING_STOP_TIMEOUT_MS	 350
+#define WAXWING_HOLD_TIMEOUT_MS	 350
+
 /** Issuer id of jobs that callers submitted to the owner's own process. */
 #define WAXWING_ISSUER_SELF 0
 
@@ -111,6 +119,7 @@
 
 struct waxwing_hold_answer {
 	enum waxwing_hold_result result;
+	uint64_t call; /**< number of the call; 0: calls are answered one by one, in order */
 	int64_t clock_ms; /**< the executor's clock when it answered */
 	int64_t started_ms; /**< start of the executor's incarnation, Unix time in ms; 0: unknown */
 	const struct waxwing_running_run *running;
@@ -181,9 +190,11 @@
 	/**
 	 * Extends the leases on an executor until @until_ms of its clock (0: not extended),
 	 * acknowledges ends up to number @acked_upto, and waits up to @wait_ms for the next end.
+	 * @call is the call's number, which its answer states. Two calls to one executor may be
+	 * outstanding; their answers may overtake each other.
 	 */
-	void (*hold)(void *data, const struct waxwing_order_target *target, int64_t until_ms,
-		     uint64_t acked_upto, uint32_t wait_ms);
+	void (*hold)(void *data, const struct waxwing_order_target *target, uint64_t call,
+		     int64_t until_ms, uint64_t acked_upto, uint32_t wait_ms);
 	void (*send_verdict)(void *data, uint64_t issuer, const Waxwing__JobVerdict *verdict);
 	/** Queries permits. Answered once, through waxwing_cell_permits_answered(). */
 	void (*query_permits)(void *data, const struct waxwing_permit_query *query);
@@ -385,6 +396,8 @@
 	uint32_t wait_ms; /**< expected wait of a task that arrives now */
 	uint64_t starts;
 	uint64_t starts_unanswered; /**< start orders whose outcome is not known */
+	uint64_t holds_hedged; /**< second holds, sent while the first was outstanding */
+	uint64_t hedges_answered; /**< second holds that were answered before the first */
 	uint64_t done;
 	uint64_t failed;
 	uint64_t lapsed;
--- a/src/cell/cell_executor.c
+++ b/src/cell/cell_executor.c
@@ -24,6 +24,12 @@
  */
 #define MAX_PENDING_ENDS 400
 
+/* A call that is lost within this time after another one on the same executor counts as repeated. */
+#define LOST_REPEAT_MS 1000
+/* Weights of lost calls in the circuit breaker, relative to a failed task. */
+#define SINGLE_LOSS_WEIGHT   0.25
+#define REPEATED_LOSS_WEIGHT 1.0
+
 void executor_free(struct executor *executor)
 {
 	g_ptr_array_free(executor->runs, TRUE);
@@ -247,6 +253,20 @@
 			      executor->breaker.ejection_ms);
 }
 
+/*
+ * Records that a call was not answered although the executor answers others. A single loss says
+ * little about the executor; repeated ones count as much as failed tasks.
+ */
+void executor_call_lost(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms)
+{
+	bool repeated = executor->last_lost_ms && now_ms - executor->last_lost_ms < LOST_REPEAT_MS;
+
+	executor->last_lost_ms = now_ms;
+	cell->last_lost_ms = now_ms;
+	executor_add_failure(cell, executor, now_ms,
+			     repeated ? REPEATED_LOSS_WEIGHT : SINGLE_LOSS_WEIGHT);
+}
+
 /*
  * Called when the executor has restarted: it numbers ends from 1 again, and its clock differs. Runs
  * of the previous incarnation are missing from the next list of runs, and are then treated as
@@ -260,7 +280,8 @@
 	executor->ackable_upto = 0;
 	g_array_set_size(executor->pending_acks, 0);
 	executor->acked_upto = 0;
-	executor->acking_upto = 0;
+	executor->calls[0].acking_upto = 0;
+	executor->calls[1].acking_upto = 0;
 	executor->backoff_until_ms = 0;
 	executor->appeared_ms = now_ms;
 	waxwing_breaker_init(&executor->breaker);
@@ -416,7 +437,7 @@
 	if (!executor->unresponsive || now_ms < executor->leases_expire_ms || !executor->runs->len)
 		return;
 	waxwing_event("leases_out", "executor=%s runs=%u silent_ms=%lld", executor->id,
-		      executor->runs->len, (long long)(now_ms - executor->hold_sent_ms));
+		      executor->runs->len, (long long)(now_ms - executor->last_answer_ms));
 	while (executor->runs->len)
 		run_ended(cell, executor->runs->pdata[0], WAXWING_RUN_LAPSED, now_ms);
 }
@@ -431,8 +452,8 @@
 		if (executor->unlisted_since_ms &&
 		    now_ms - executor->unlisted_since_ms >= UNLISTED_GRACE_MS)
 			executor->removed = true;
-		if (executor->removed && !executor->runs->len && !executor->hold_in_flight &&
-		    now_ms >= executor->leases_expire_ms)
+		if (executor->removed && !executor->runs->len &&
+		    !executor_hold_in_flight(executor) && now_ms >= executor->leases_expire_ms)
 			remove_executor(cell, executor);
 	}
 }
--- a/src/cell/cell_hold.c
+++ b/src/cell/cell_hold.c
@@ -35,6 +35,12 @@
 /* Weight in the circuit breaker of an unanswered hold, relative to a failed task. */
 #define NO_ANSWER_WEIGHT 1.0
 
+/*
+ * If holds were not considered for this time, the process was paused: answers may have come that it
+ * has not read yet. No holds are hedged before it has had this time to read them.
+ */
+#define OWNER_PAUSE_MS 30
+
 /* Returns true if executors have runs of durable jobs, or ends that were not acknowledged. */
 static bool has_durable_work(const struct waxwing_cell *cell)
 {
@@ -53,13 +59,42 @@
 	return false;
 }
 
+static const struct hold_call *regular_call(const struct executor *executor)
+{
+	return &executor->calls[executor->regular_call];
+}
+
+/* Returns true if the call is overdue and a later answer shows that the executor is there. */
+static bool call_is_lost(const struct executor *executor, const struct hold_call *call,
+			 int64_t now_ms)
+{
+	return now_ms >= call->overdue_ms && executor->last_call_at_answer >= call->number;
+}
+
+static bool other_call_in_flight(const struct executor *executor)
+{
+	return executor->calls[1 - executor->regular_call].in_flight;
+}
+
+/* Returns true if the next regular hold has to wait for an outstanding call. */
+static bool hold_must_wait(const struct executor *executor, int64_t now_ms)
+{
+	const struct hold_call *call = regular_call(executor);
+
+	/* if it was lost, the hedge decides whether the executor is unresponsive */
+	if (!call->in_flight)
+		return other_call_in_flight(executor) &&
+		       executor->last_call_at_answer < call->number;
+	return other_call_in_flight(executor) || !call_is_lost(executor, call, now_ms);
+}
+
 static bool hold_is_due(const struct executor *executor, int64_t now_ms, int64_t refresh_ms)
 {
-	if (executor->hold_in_flight || now_ms < executor->next_hold_ms)
+	if (hold_must_wait(executor, now_ms) || now_ms < executor->next_hold_ms)
 		return false;
 	if (executor->hold_requested || executor->runs->len || executor->unresponsive)
 		return true;
-	if (!executor->removed && now_ms - executor->hold_sent_ms >= refresh_ms)
+	if (!executor->removed && now_ms - regular_call(executor)->sent_ms >= refresh_ms)
 		return true;
 	return executor->processed_upto > executor->acked_upto;
 }
@@ -90,32 +125,91 @@
 		g_array_remove_range(executor->pending_acks, 0, ready);
 }
 
-static void send_hold(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms)
+/* Returns true if the executor may have lost the regular hold, and another one may go out. */
+static bool hedge_is_due(const struct executor *executor, int64_t now_ms)
+{
+	const struct hold_call *call = regular_call(executor);
+
+	/* an executor that is out of use already is called at intervals */
+	if (!call->in_flight || other_call_in_flight(executor) || executor->unresponsive)
+		return false;
+	return call->may_hedge && now_ms >= call->overdue_ms &&
+	       !call_is_lost(executor, call, now_ms);
+}
+
+/* Returns a free record for the next call. */
+static struct hold_call *begin_call(struct waxwing_cell *cell, struct executor *executor,
+				    int64_t now_ms, bool hedge, uint32_t wait_ms)
+{
+	int64_t timeout_ms =
+		waxwing_answer_time_timeout_ms(&cell->answer_time, now_ms, WAXWING_HOLD_TIMEOUT_MS);
+	struct hold_call *call;
+
+	if (!hedge && regular_call(executor)->in_flight)
+		executor->regular_call = 1 - executor->regular_call;
+	call = &executor->calls[hedge ? 1 - executor->regular_call : executor->regular_call];
+	*call = (struct hold_call){
+		.hedge = hedge,
+		.number = ++executor->last_call,
+		.in_flight = true,
+		.may_hedge = !hedge && timeout_ms < WAXWING_HOLD_TIMEOUT_MS,
+		.sent_ms = now_ms,
+		.overdue_ms = now_ms + wait_ms + timeout_ms,
+		.wait_ms = wait_ms,
+		.acking_upto = executor->acked_upto,
+	};
+	return call;
+}
+
+/* Extends the leases on an executor; returns true if its answer may be delayed. */
+static bool extend_leases(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms,
+			  int64_t *until_ms)
 {
-	struct waxwing_order_target target;
-	bool responsive = executor->answered && !executor->unresponsive;
 	/* the executor may have runs of a successor, whose leases must not be extended */
 	bool may_extend =
-		cell_is_owned(cell, now_ms) || executor_accepted_recently(executor, now_ms);
-	int64_t until_ms =
-		responsive && may_extend ? executor_extend_lease(cell, executor, now_ms) : 0;
+		executor->answered && !executor->unresponsive &&
+		(cell_is_owned(cell, now_ms) || executor_accepted_recently(executor, now_ms));
+
+	*until_ms = may_extend ? executor_extend_lease(cell, executor, now_ms) : 0;
+	return may_extend && executor->runs->len;
+}
+
+static void send_hold(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms)
+{
+	struct waxwing_order_target target;
+	int64_t until_ms;
+	bool may_wait = extend_leases(cell, executor, now_ms, &until_ms);
 	bool list_now; /* answer at once: ends must be listed again before their acknowledgement */
 	bool fresh;
 	uint32_t wait_ms = executor->unknown_runs ? UNKNOWN_RUNS_WAIT_MS : HOLD_WAIT_MS;
+	struct hold_call *call;
 
-	executor->hold_in_flight = true;
 	executor->hold_requested = false;
-	executor->hold_sent_ms = now_ms;
 	update_ackable_ends(cell, executor, now_ms);
 	fresh = now_ms - executor->last_answer_ms <= MAX_ACK_DELAY_MS;
-	executor->acking_upto = fresh ? executor->ackable_upto : executor->acked_upto;
-	executor_target(cell, executor, &target);
 	list_now = !fresh && executor->ackable_upto > executor->acked_upto;
+	call = begin_call(cell, executor, now_ms, false, may_wait && !list_now ? wait_ms : 0);
+	if (fresh)
+		call->acking_upto = executor->ackable_upto;
+	executor_target(cell, executor, &target);
 	/* numbers are not acknowledged twice: a new incarnation may have restarted at 1 */
-	cell->options.ops->hold(
-		cell->options.data, &target, until_ms,
-		executor->acking_upto > executor->acked_upto ? executor->acking_upto : 0,
-		responsive && may_extend && executor->runs->len && !list_now ? wait_ms : 0);
+	cell->options.ops->hold(cell->options.data, &target, call->number, until_ms,
+				call->acking_upto > executor->acked_upto ? call->acking_upto : 0,
+				call->wait_ms);
+}
+
+/* Sends a second hold while the regular one is outstanding. It acknowledges no ends. */
+static void send_hedge(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms)
+{
+	struct waxwing_order_target target;
+	int64_t until_ms;
+	const struct hold_call *call;
+
+	extend_leases(cell, executor, now_ms, &until_ms);
+	call = begin_call(cell, executor, now_ms, true, 0);
+	cell->holds_hedged++;
+	executor_target(cell, executor, &target);
+	cell->options.ops->hold(cell->options.data, &target, call->number, until_ms, 0, 0);
 }
 
 void cell_send_holds(struct waxwing_cell *cell, int64_t now_ms)
@@ -124,11 +218,16 @@
 				     UNCONFIRMED_REFRESH_MS :
 				     CLOCK_REFRESH_MS;
 
+	if (now_ms - cell->last_holds_ms >= OWNER_PAUSE_MS)
+		cell->hedge_after_ms = now_ms + OWNER_PAUSE_MS;
+	cell->last_holds_ms = now_ms;
 	for (guint i = 0; i < cell->executors->len; i++) {
 		struct executor *executor = cell->executors->pdata[i];
 
 		if (hold_is_due(executor, now_ms, refresh_ms))
 			send_hold(cell, executor, now_ms);
+		else if (now_ms >= cell->hedge_after_ms && hedge_is_due(executor, now_ms))
+			send_hedge(cell, executor, now_ms);
 	}
 }
 
@@ -203,12 +302,12 @@
 
 /* Ends runs that started before the hold was sent but that its answer does not list. */
 static void end_missing_runs(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms,
-			     const struct waxwing_hold_answer *answer)
+			     const struct hold_call *call, const struct waxwing_hold_answer *answer)
 {
 	for (guint i = executor->runs->len; i-- > 0;) {
 		struct cell_run *run = executor->runs->pdata[i];
 
-		if (!run->start_unconfirmed && run->started_ms < executor->hold_sent_ms &&
+		if (!run->start_unconfirmed && run->started_ms < call->sent_ms &&
 		    !is_listed(answer, run)) {
 			waxwing_event("run_vanished", "executor=%s job=%016llx run=%u",
 				      executor->id, (unsigned long long)run->id.job, run->id.run);
@@ -217,8 +316,17 @@
 	}
 }
 
-static void handle_no_answer(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms)
+static void handle_no_answer(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms,
+			     const struct hold_call *call)
 {
+	bool others_in_flight = executor_hold_in_flight(executor);
+
+	cell->last_lost_ms = now_ms;
+	if (others_in_flight || executor->last_call_at_answer >= call->number) {
+		executor_call_lost(cell, executor, now_ms);
+		executor->hold_requested = true;
+		return;
+	}
 	if (!executor->unresponsive) {
 		executor->unresponsive = true;
 		waxwing_event("executor_silent", "executor=%s runs=%u", executor->id,
@@ -229,55 +337,135 @@
 	executor->next_hold_ms = now_ms + NO_ANSWER_RETRY_MS;
 }
 
+/*
+ * Processes the executor's state, which is not older than the last one that was received: its runs,
+ * and its clock.
+ */
+static void handle_state(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms,
+			 const struct hold_call *call, const struct waxwing_hold_answer *answer)
+{
+	executor->last_call_at_state = executor->last_call;
+	executor->state_clock_ms = answer->clock_ms;
+	executor_set_clock(executor, now_ms, answer->clock_ms);
+	for (size_t i = 0; i < answer->running_count; i++)
+		handle_running(cell, executor, now_ms, &answer->running[i]);
+	/* a run that neither list contains may have ended */
+	executor->ends_truncated = answer->ends_truncated;
+	if (!answer->ends_truncated)
+		end_missing_runs(cell, executor, now_ms, call, answer);
+	executor->last_answer_ms = now_ms;
+	executor->runs_listed |= !cell->options.recovering && !answer->ends_truncated;
+	if (executor->runs_listed && !cell->first_runs_listed_ms)
+		cell->first_runs_listed_ms = now_ms;
+}
+
+/*
+ * Returns true if the answer may show an earlier state than the last one that was received. The
+ * clock of an answer to a call sent after that one is not compared: it is later in any case.
+ */
+static bool is_outdated(const struct executor *executor, const struct hold_call *call,
+			const struct waxwing_hold_answer *answer)
+{
+	return call->number <= executor->last_call_at_state &&
+	       answer->clock_ms <= executor->state_clock_ms;
+}
+
 static void handle_answer(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms,
-			  const struct waxwing_hold_answer *answer)
+			  const struct hold_call *call, const struct waxwing_hold_answer *answer)
 {
+	struct hold_call *regular = &executor->calls[executor->regular_call];
+	bool outdated = is_outdated(executor, call, answer);
+	uint64_t processed_upto = executor->processed_upto;
+
 	if (executor->unresponsive) {
 		waxwing_event("executor_back", "executor=%s runs=%u", executor->id,
 			      executor->runs->len);
 		executor->unresponsive = false;
 	}
-	executor_set_clock(executor, now_ms, answer->clock_ms);
 	executor->answered = true;
-	executor->acked_upto = MAX(executor->acked_upto, executor->acking_upto);
+	executor->acked_upto = MAX(executor->acked_upto, call->acking_upto);
 	/* ends refer to jobs that are known only after the replay; they are listed again */
 	for (size_t i = 0; i < answer->ended_count && !cell->options.recovering; i++)
 		handle_ended(cell, executor, now_ms, &answer->ended[i]);
-	for (size_t i = 0; i < answer->running_count; i++)
-		handle_running(cell, executor, now_ms, &answer->running[i]);
-	/* a run that neither list contains may have ended */
-	executor->ends_truncated = answer->ends_truncated;
-	if (!answer->ends_truncated)
-		end_missing_runs(cell, executor, now_ms, answer);
+	if (!outdated)
+		handle_state(cell, executor, now_ms, call, answer);
 	update_ackable_ends(cell, executor, now_ms);
 	executor->next_hold_ms = now_ms + (executor->pending_acks->len ? STORE_WAIT_MS : 0);
-	executor->last_answer_ms = now_ms;
-	executor->accepted_ms = executor->hold_sent_ms;
-	executor->runs_listed |= !cell->options.recovering && !answer->ends_truncated;
-	if (executor->runs_listed && !cell->first_runs_listed_ms)
-		cell->first_runs_listed_ms = now_ms;
+	executor->accepted_ms = MAX(executor->accepted_ms, call->sent_ms);
+	/* an end should have been answered by the regular hold at once */
+	if (call->hedge && executor->processed_upto > processed_upto)
+		regular->overdue_ms =
+			MIN(regular->overdue_ms,
+			    now_ms + waxwing_answer_time_timeout_ms(&cell->answer_time, now_ms,
+								    WAXWING_HOLD_TIMEOUT_MS));
 	if (cell->options.recovering && answer->ended_count)
 		executor->hold_requested = true;
 }
 
+static void learn_answer_time(struct waxwing_cell *cell, const struct hold_call *call,
+			      int64_t now_ms)
+{
+	int64_t took_ms = now_ms - call->sent_ms;
+
+	/* if it was answered before the end of its wait, it is not known how long it waited */
+	if (!call->wait_ms || took_ms >= call->wait_ms)
+		waxwing_answer_time_add(&cell->answer_time, now_ms, took_ms - call->wait_ms);
+}
+
+static struct hold_call *find_call(struct executor *executor, uint64_t number)
+{
+	if (!number)
+		return &executor->calls[executor->regular_call];
+	for (size_t i = 0; i < G_N_ELEMENTS(executor->calls); i++)
+		if (executor->calls[i].number == number && executor->calls[i].in_flight)
+			return &executor->calls[i];
+	return NULL;
+}
+
+/*
+ * Resets what is known of the executor if another incarnation has answered. Returns false if the
+ * answer is of an earlier incarnation, which was overtaken by one of the present.
+ */
+static bool check_incarnation(struct executor *executor, int64_t now_ms,
+			      const struct hold_call *call,
+			      const struct waxwing_hold_answer *answer)
+{
+	/* an earlier time, too: the executor's clock may have been set back */
+	if (!answer->started_ms || answer->started_ms == executor->started_ms)
+		return true;
+	if (executor->started_ms && executor->last_call_at_state &&
+	    call->number <= executor->last_call_at_state)
+		return false;
+	if (executor->started_ms)
+		executor_reset(executor, now_ms);
+	executor->started_ms = answer->started_ms;
+	return true;
+}
+
 void waxwing_cell_hold_answered(struct waxwing_cell *cell, int64_t now_ms, uint64_t handle,
 				const struct waxwing_hold_answer *answer)
 {
 	struct executor *executor = cell_find_executor(cell, handle);
+	struct hold_call *record = executor ? find_call(executor, answer->call) : NULL;
+	struct hold_call sent;
+	const struct hold_call *call = &sent;
 
-	if (!executor)
+	if (!record)
 		return;
-	executor->hold_in_flight = false;
-	/* an earlier time, too: the executor's clock may have been set back */
-	if (answer->result == WAXWING_HOLD_ANSWERED && answer->started_ms &&
-	    answer->started_ms != executor->started_ms) {
-		if (executor->started_ms)
-			executor_reset(executor, now_ms);
-		executor->started_ms = answer->started_ms;
+	sent = *record;
+	record->in_flight = false;
+	if (!answer->call)
+		sent.number = UINT64_MAX; /* not overtaken by any other */
+	if (answer->result != WAXWING_HOLD_NO_ANSWER) {
+		if (call->in_flight)
+			learn_answer_time(cell, call, now_ms);
+		executor->last_call_at_answer = executor->last_call;
+		cell->hedges_answered += call->hedge && regular_call(executor)->in_flight;
 	}
 	switch (answer->result) {
 	case WAXWING_HOLD_ANSWERED:
-		handle_answer(cell, executor, now_ms, answer);
+		if (check_incarnation(executor, now_ms, call, answer))
+			handle_answer(cell, executor, now_ms, call, answer);
 		break;
 	case WAXWING_HOLD_FENCED:
 		cell->options.ops->fenced(cell->options.data, executor->id);
@@ -292,7 +480,7 @@
 		executor->leases_expire_ms = 0;
 		break;
 	case WAXWING_HOLD_NO_ANSWER:
-		handle_no_answer(cell, executor, now_ms);
+		handle_no_answer(cell, executor, now_ms, call);
 		break;
 	}
 }
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -1,6 +1,7 @@
 #ifndef WAXWING_CELL_PRIVATE_H
 #define WAXWING_CELL_PRIVATE_H
 
+#include "answer_time.h"
 #include "breaker.h"
 #include "cell.h"
 #include "estimate.h"
@@ -156,6 +157,18 @@
 	bool foreign; /* neither the run nor its job is known: another owner may have started it */
 };
 
+/* A hold that was sent, whether or not it is still outstanding. */
+struct hold_call {
+	uint64_t number; /* increases with each call to the executor; 0: none was sent */
+	bool in_flight;
+	bool hedge; /* sent while another one was outstanding */
+	bool may_hedge; /* once overdue, a hedge is sent; not if its own timeout comes first */
+	int64_t sent_ms;
+	int64_t overdue_ms; /* by then, an answer that is not lost has come */
+	uint32_t wait_ms;
+	uint64_t acking_upto; /* it acknowledges ends up to this number */
+};
+
 struct executor {
 	char *id;
 	char *address;
@@ -174,15 +187,21 @@
 	bool removed; /* accepts no work; freed when it has no runs and no leases */
 
 	/* Holds and leases. */
-	bool hold_in_flight;
+	struct hold_call calls[2]; /* the last regular call, and another that may be outstanding */
+	uint32_t regular_call; /* index in calls */
+	uint64_t last_call; /* number of the last call */
+	uint64_t last_call_at_state; /* last_call when the last state was received */
+	int64_t state_clock_ms; /* the executor's clock in the answer that shows its last state */
+	uint64_t last_call_at_answer; /* last_call when the last answer was received */
+	int64_t last_hedge_ms;
+	int64_t last_lost_ms; /* when a call was last found to be unanswered */
 	bool hold_requested; /* a hold is needed even if nothing runs there */
 	bool answered; /* has answered a hold */
 	bool runs_listed; /* has listed its runs and ends since the journal was replayed */
 	bool ends_truncated; /* the last list may not have contained all ends */
 	bool unresponsive; /* the last hold was not answered */
-	int64_t hold_sent_ms;
 	int64_t next_hold_ms; /* earliest time of the next hold */
-	int64_t last_answer_ms; /* time of the last answer to a hold */
+	int64_t last_answer_ms; /* time of the last answer to a hold that showed its state */
 	int64_t accepted_ms; /* when the last hold was sent that it answered */
 	int64_t appeared_ms; /* when this owner first noticed its current incarnation */
 	int64_t leases_expire_ms; /* time by which all leases granted there have expired */
@@ -193,7 +212,6 @@
 	uint64_t ackable_upto; /* ends up to this number may be acknowledged */
 	GArray *pending_acks; /* struct pending_ack, ascending */
 	uint64_t acked_upto; /* ends up to this number are known to be acknowledged */
-	uint64_t acking_upto; /* the last hold sent acknowledged ends up to this number */
 
 	int64_t backoff_until_ms; /* no run starts there before this time, as a start failed */
 	GPtrArray *runs; /* struct cell_run */
@@ -254,6 +272,10 @@
 	uint64_t stored_upto; /* journal records up to this number are stored */
 	int64_t created_ms;
 	int64_t last_scan_ms;
+	struct waxwing_answer_time answer_time; /* of the cell's executors */
+	int64_t last_holds_ms; /* when holds were last sent or considered */
+	int64_t hedge_after_ms; /* no hedged holds before this time */
+	int64_t last_lost_ms; /* when a call to any executor was last found to be unanswered */
 	bool permit_query_in_flight;
 	int64_t next_permit_query_ms;
 	int64_t wall_offset_ms; /* wall-clock time minus the caller's clock */
@@ -269,6 +291,8 @@
 	struct waxwing_histogram start_wait_ms; /* from a job's arrival to its first start */
 	uint64_t starts;
 	uint64_t starts_unanswered;
+	uint64_t holds_hedged;
+	uint64_t hedges_answered;
 	uint64_t done;
 	uint64_t failed;
 	uint64_t lapsed;
@@ -300,9 +324,16 @@
 void executor_set_clock(struct executor *executor, int64_t now_ms, int64_t clock_ms);
 void executor_add_failure(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms,
 			  double weight);
+void executor_call_lost(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms);
 void executor_reset(struct executor *executor, int64_t now_ms);
 void cell_scan_executors(struct waxwing_cell *cell, int64_t now_ms);
 
+/* Returns true if a hold is outstanding. */
+static inline bool executor_hold_in_flight(const struct executor *executor)
+{
+	return executor->calls[0].in_flight || executor->calls[1].in_flight;
+}
+
 /* cell_hold.c */
 void cell_send_holds(struct waxwing_cell *cell, int64_t now_ms);
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -321,6 +321,8 @@
 				       "waxwing_cell_runs{cell=\"%s\"} %u\n"
 				       "waxwing_cell_starts_total{cell=\"%s\"} %llu\n"
 				       "waxwing_cell_starts_unanswered_total{cell=\"%s\"} %llu\n"
+				       "waxwing_cell_holds_hedged_total{cell=\"%s\"} %llu\n"
+				       "waxwing_cell_hedges_answered_total{cell=\"%s\"} %llu\n"
 				       "waxwing_cell_done_total{cell=\"%s\"} %llu\n"
 				       "waxwing_cell_failed_total{cell=\"%s\"} %llu\n"
 				       "waxwing_cell_lapsed_total{cell=\"%s\"} %llu\n"
@@ -330,6 +332,8 @@
 				       cell->name, stats.runs, cell->name,
 				       (unsigned long long)stats.starts, cell->name,
 				       (unsigned long long)stats.starts_unanswered, cell->name,
+				       (unsigned long long)stats.holds_hedged, cell->name,
+				       (unsigned long long)stats.hedges_answered, cell->name,
 				       (unsigned long long)stats.done, cell->name,
 				       (unsigned long long)stats.failed, cell->name,
 				       (unsigned long long)stats.lapsed, cell->name,
--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -6,10 +6,6 @@
 #include "event_log.h"
 #include "log.h"
 
-/* Timeouts for an executor's answer, in addition to the wait that was requested. */
-#define START_TIMEOUT_MS 200
-#define STOP_TIMEOUT_MS	 350
-#define HOLD_TIMEOUT_MS	 350
 /* Offers older than this are ignored, because the issuer may have moved the job to another cell. */
 #define MAX_OFFER_AGE_MS 400
 /*
@@ -36,6 +32,7 @@
 	uint64_t ownership_id;
 	uint64_t handle;
 	struct waxwing_run_id run_id;
+	uint64_t call; /* number of a hold */
 };
 
 static struct executor_order *create_order(struct node_cell *cell, uint64_t handle,
@@ -89,10 +86,12 @@
 {
 	struct executor_order *order = data;
 	struct waxwing_cell *cell = get_order_cell(order);
+	struct waxwing_hold_answer numbered = *answer;
 
+	numbered.call = order->call;
 	if (cell)
 		waxwing_cell_hold_answered(cell, node_now(order->cell->node), order->handle,
-					   answer);
+					   &numbered);
 	g_free(order);
 }
 
@@ -104,7 +103,7 @@
 	struct waxwing_executor_start start = {
 		.target = target,
 		.order = order,
-		.timeout_ms = START_TIMEOUT_MS,
+		.timeout_ms = WAXWING_START_TIMEOUT_MS,
 		.done = start_done,
 		.data = create_order(cell, target->handle, &order->run_id),
 	};
@@ -120,7 +119,7 @@
 	struct waxwing_executor_stop stop = {
 		.target = target,
 		.run_id = run_id,
-		.timeout_ms = STOP_TIMEOUT_MS,
+		.timeout_ms = WAXWING_STOP_TIMEOUT_MS,
 		.done = stop_done,
 		.data = create_order(cell, target->handle, run_id),
 	};
@@ -128,21 +127,23 @@
 	executors->ops->stop(executors, &stop);
 }
 
-static void order_hold(void *data, const struct waxwing_order_target *target, int64_t until_ms,
-		       uint64_t acked_upto, uint32_t wait_ms)
+static void order_hold(void *data, const struct waxwing_order_target *target, uint64_t call,
+		       int64_t until_ms, uint64_t acked_upto, uint32_t wait_ms)
 {
 	struct node_cell *cell = data;
+	struct executor_order *order = create_order(cell, target->handle, NULL);
 	struct waxwing_executors *executors = cell->node->options.executors;
 	struct waxwing_executor_hold hold = {
 		.target = target,
 		.lease_until_ms = until_ms,
 		.acked_upto = acked_upto,
 		.wait_ms = wait_ms,
-		.timeout_ms = HOLD_TIMEOUT_MS,
+		.timeout_ms = WAXWING_HOLD_TIMEOUT_MS,
 		.done = hold_done,
-		.data = create_order(cell, target->handle, NULL),
+		.data = order,
 	};
 
+	order->call = call;
 	executors->ops->hold(executors, &hold);
 }
 
--- a/test/cell_fixture.h
+++ b/test/cell_fixture.h
@@ -20,6 +20,8 @@
 	GArray *verdicts; /* struct verdict */
 	uint64_t handle; /* of the executor that got the last hold */
 	uint32_t holds;
+	uint64_t last_call; /* number of the last hold */
+	uint32_t last_wait_ms;
 	bool last_hold_extends; /* the last hold extended leases */
 	int64_t last_until_ms; /* to when, on the executor's clock; 0: not */
 	uint64_t acked_upto;
@@ -71,12 +73,13 @@
 	g_array_append_val(((struct recorder *)data)->stops, *run_id);
 }
 
-static void record_hold(void *data, const struct waxwing_order_target *target, int64_t until_ms,
-			uint64_t acked_upto, uint32_t wait_ms)
+static void record_hold(void *data, const struct waxwing_order_target *target, uint64_t call,
+			int64_t until_ms, uint64_t acked_upto, uint32_t wait_ms)
 {
 	struct recorder *recorder = data;
 
-	(void)wait_ms;
+	recorder->last_call = call;
+	recorder->last_wait_ms = wait_ms;
 	recorder->handle = target->handle;
 	recorder->holds++;
 	recorder->last_hold_extends = until_ms != 0;
--- a/test/crest_sim.h
+++ b/test/crest_sim.h
@@ -110,9 +110,10 @@
 	(void)run_id;
 }
 
-static void hold_executor(void *data, const struct waxwing_order_target *target, int64_t until_ms,
-			  uint64_t acked_upto, uint32_t wait_ms)
+static void hold_executor(void *data, const struct waxwing_order_target *target, uint64_t call,
+			  int64_t until_ms, uint64_t acked_upto, uint32_t wait_ms)
 {
+	(void)call;
 	struct crest_sim *sim = data;
 	struct sim_executor *executor = find_executor(sim, target->id);
 
--- /dev/null
+++ b/test/test_cell_hedge.c
@@ -0,0 +1,391 @@
+/* Tests of a single cell: calls to executors whose answers are lost, late or out of order. */
+#include "cell_fixture.h"
+
+#define EXECUTORS 4
+/* How long an executor waits before it answers a hold, and the shortest timeout after that. */
+#define WAIT_MS	   250
+#define TIMEOUT_MS 40
+/* Largest delay of a call that is due: the interval at which the fixture advances. */
+#define TICK_MS 5
+/* Time after which a hold that was not answered is given up. */
+#define GIVE_UP_MS (WAIT_MS + WAXWING_HOLD_TIMEOUT_MS)
+/* Time in which the answers of EXECUTORS executors are enough for a short timeout. */
+#define LEARNING_MS 4500
+
+struct call {
+	int executor;
+	uint64_t number;
+	uint64_t acked_upto;
+	int64_t until_ms;
+	uint32_t wait_ms;
+	int64_t sent_ms;
+	bool answered;
+};
+
+struct fake {
+	struct waxwing_running_run runs[8];
+	size_t run_count;
+	struct waxwing_ended_run ended[8];
+	size_t ended_count;
+	bool silent;
+	uint64_t handle;
+};
+
+struct cluster {
+	struct fixture fixture;
+	struct fake executors[EXECUTORS];
+	GArray *calls; /* struct call, in the order in which they were sent */
+	int64_t answer_ms; /* how long an executor takes to answer, after the wait */
+};
+
+static struct cluster *current;
+
+static void take_hold(void *data, const struct waxwing_order_target *target, uint64_t call,
+		      int64_t until_ms, uint64_t acked_upto, uint32_t wait_ms)
+{
+	struct call row = {
+		.executor = target->id[0] - 'a',
+		.number = call,
+		.acked_upto = acked_upto,
+		.until_ms = until_ms,
+		.wait_ms = wait_ms,
+		.sent_ms = current->fixture.now_ms,
+	};
+
+	record_hold(data, target, call, until_ms, acked_upto, wait_ms);
+	current->executors[row.executor].handle = target->handle;
+	g_array_append_val(current->calls, row);
+}
+
+static struct call *call_at(const struct cluster *cluster, guint index)
+{
+	return &g_array_index(cluster->calls, struct call, index);
+}
+
+/* Returns the executor's latest call; null: it has none. */
+static struct call *last_call(const struct cluster *cluster, int executor)
+{
+	for (guint i = cluster->calls->len; i-- > 0;)
+		if (call_at(cluster, i)->executor == executor)
+			return call_at(cluster, i);
+	return NULL;
+}
+
+/* Answers a call with the state that the executor has now. */
+static void answer_now(struct cluster *cluster, struct call *call)
+{
+	const struct fake *executor = &cluster->executors[call->executor];
+	struct waxwing_hold_answer answer = {
+		.result = WAXWING_HOLD_ANSWERED,
+		.call = call->number,
+		.clock_ms = CLOCK_OFFSET_MS + cluster->fixture.now_ms,
+		.running = executor->runs,
+		.running_count = executor->run_count,
+		.ended = executor->ended,
+		.ended_count = executor->ended_count,
+	};
+
+	call->answered = true;
+	waxwing_cell_hold_answered(cluster->fixture.cell, cluster->fixture.now_ms, executor->handle,
+				   &answer);
+}
+
+static void lose(struct cluster *cluster, struct call *call)
+{
+	struct waxwing_hold_answer silence = { .result = WAXWING_HOLD_NO_ANSWER,
+					       .call = call->number };
+
+	call->answered = true;
+	waxwing_cell_hold_answered(cluster->fixture.cell, cluster->fixture.now_ms,
+				   cluster->executors[call->executor].handle, &silence);
+}
+
+/* Answers the calls that are due. Those of silent executors are given up in time. */
+static void answer_due(struct cluster *cluster)
+{
+	for (guint i = 0; i < cluster->calls->len; i++) {
+		struct call *call = call_at(cluster, i);
+		int64_t age_ms = cluster->fixture.now_ms - call->sent_ms - call->wait_ms;
+		bool silent = cluster->executors[call->executor].silent;
+
+		if (call->answered)
+			continue;
+		if (silent && age_ms >= WAXWING_HOLD_TIMEOUT_MS)
+			lose(cluster, call);
+		else if (!silent && age_ms >= cluster->answer_ms)
+			answer_now(cluster, call);
+	}
+}
+
+static void run_cluster(struct cluster *cluster, int64_t ms)
+{
+	for (int64_t passed_ms = 0; passed_ms < ms; passed_ms += TICK_MS) {
+		advance(&cluster->fixture, TICK_MS);
+		answer_due(cluster);
+	}
+}
+
+static struct waxwing_cell_stats get_stats(struct cluster *cluster)
+{
+	struct waxwing_cell_stats stats;
+
+	waxwing_cell_get_stats(cluster->fixture.cell, cluster->fixture.now_ms, &stats);
+	return stats;
+}
+
+/* Confirms the starts from @first on; the runs last until the test ends them. */
+static void confirm_starts(struct cluster *cluster, guint first)
+{
+	for (guint i = first; i < cluster->fixture.recorder.starts->len; i++) {
+		struct fake *executor =
+			&cluster->executors[start_at(&cluster->fixture, i)->executor[0] - 'a'];
+
+		executor->runs[executor->run_count++] =
+			(struct waxwing_running_run){ start_at(&cluster->fixture, i)->run_id,
+						      NULL };
+		answer_started(&cluster->fixture, i);
+	}
+}
+
+/* Ends a run of an executor. */
+static void end_run(struct cluster *cluster, int executor, size_t index)
+{
+	struct fake *fake = &cluster->executors[executor];
+
+	fake->ended[fake->ended_count] =
+		(struct waxwing_ended_run){ fake->ended_count + 1, fake->runs[index].run_id,
+					    WAXWING_RUN_DONE, NULL };
+	fake->ended_count++;
+	fake->runs[index] = fake->runs[--fake->run_count];
+}
+
+/* Starts a long task on each executor, and answers holds until the usual answer time is known. */
+static void set_up_cluster(struct cluster *cluster, const struct waxwing_cell_ops *ops,
+			   int64_t answer_ms)
+{
+	static const char *const ids[] = { "a", "b", "c", "d" };
+
+	*cluster = (struct cluster){ .answer_ms = answer_ms };
+	current = cluster;
+	cluster->calls = g_array_new(FALSE, FALSE, sizeof(struct call));
+	set_up_with_ops(&cluster->fixture, ops);
+	for (int i = 0; i < EXECUTORS; i++)
+		add_executor(&cluster->fixture, ids[i], 16000, 0);
+	run_cluster(cluster, 2 * answer_ms + 100);
+	offer(&cluster->fixture, 1, EXECUTORS, 10000, 60000, false);
+	advance(&cluster->fixture, TICK_MS);
+	g_assert_cmpuint(cluster->fixture.recorder.starts->len, ==, EXECUTORS);
+	confirm_starts(cluster, 0);
+	run_cluster(cluster, LEARNING_MS);
+}
+
+static struct waxwing_cell_ops hedge_ops(void)
+{
+	struct waxwing_cell_ops ops = recording_ops;
+
+	ops.hold = take_hold;
+	return ops;
+}
+
+static void tear_down_cluster(struct cluster *cluster)
+{
+	g_array_free(cluster->calls, TRUE);
+	tear_down(&cluster->fixture);
+}
+
+/* Runs the cluster until executor a has just got a regular hold; returns its index. */
+static guint await_hold(struct cluster *cluster)
+{
+	guint before = cluster->calls->len;
+
+	for (int i = 0; i < 100; i++) {
+		run_cluster(cluster, TICK_MS);
+		for (guint k = before; k < cluster->calls->len; k++)
+			if (call_at(cluster, k)->executor == 0)
+				return k;
+	}
+	g_assert_not_reached();
+}
+
+/*
+ * Guards against an executor that is out of use, and ends that are not known, for 800 ms because
+ * one hold was lost.
+ */
+static void test_lost_hold(void)
+{
+	struct waxwing_cell_ops ops = hedge_ops();
+	struct cluster cluster;
+	guint lost;
+
+	set_up_cluster(&cluster, &ops, 2);
+	lost = await_hold(&cluster);
+	g_assert_cmpuint(get_stats(&cluster).holds_hedged, ==, 0);
+	call_at(&cluster, lost)->answered = true; /* not by the loop */
+	end_run(&cluster, 0, 0);
+	run_cluster(&cluster, WAIT_MS + TIMEOUT_MS + 3 * TICK_MS);
+	g_assert_cmpuint(get_stats(&cluster).done, ==, 1);
+	g_assert_cmpuint(get_stats(&cluster).holds_hedged, ==, 1);
+	g_assert_cmpuint(get_stats(&cluster).hedges_answered, ==, 1);
+	run_cluster(&cluster, GIVE_UP_MS - WAIT_MS - TIMEOUT_MS - 3 * TICK_MS);
+	lose(&cluster, call_at(&cluster, lost));
+	g_assert_cmpuint(get_stats(&cluster).usable, ==, EXECUTORS);
+	/* the end was acknowledged by a regular hold, after an answer that listed it */
+	g_assert_cmpuint(last_call(&cluster, 0)->acked_upto, ==, 1);
+	tear_down_cluster(&cluster);
+}
+
+/* An executor is out of use once both calls were not answered, and not before. */
+static void test_both_lost(void)
+{
+	struct waxwing_cell_ops ops = hedge_ops();
+	struct cluster cluster;
+
+	set_up_cluster(&cluster, &ops, 2);
+	await_hold(&cluster);
+	cluster.executors[0].silent = true;
+	run_cluster(&cluster, GIVE_UP_MS + TICK_MS);
+	g_assert_cmpuint(get_stats(&cluster).usable, ==, EXECUTORS);
+	run_cluster(&cluster, TIMEOUT_MS + TICK_MS);
+	g_assert_cmpuint(get_stats(&cluster).usable, ==, EXECUTORS - 1);
+	g_assert_cmpuint(get_stats(&cluster).holds_hedged, ==, 1);
+	tear_down_cluster(&cluster);
+}
+
+/*
+ * Guards against a run that is taken for ended, or an ended one for running, because an answer was
+ * overtaken by a newer one.
+ */
+static void test_overtaken(void)
+{
+	struct waxwing_cell_ops ops = hedge_ops();
+	struct cluster cluster;
+	struct fake before;
+	struct waxwing_hold_answer late = { .result = WAXWING_HOLD_ANSWERED };
+	guint first;
+
+	set_up_cluster(&cluster, &ops, 2);
+	first = await_hold(&cluster);
+	call_at(&cluster, first)->answered = true; /* not by the loop */
+	before = cluster.executors[0];
+	late.call = call_at(&cluster, first)->number;
+	late.clock_ms = CLOCK_OFFSET_MS + cluster.fixture.now_ms;
+	late.running = before.runs;
+	late.running_count = before.run_count;
+	/* a new run starts and the old one ends; the second hold shows both */
+	offer(&cluster.fixture, 2, EXECUTORS, 1000, 5000, false);
+	advance(&cluster.fixture, TICK_MS);
+	confirm_starts(&cluster, EXECUTORS);
+	end_run(&cluster, 0, 0);
+	run_cluster(&cluster, WAIT_MS + TIMEOUT_MS + 2 * TICK_MS);
+	g_assert_cmpuint(get_stats(&cluster).hedges_answered, ==, 1);
+	g_assert_cmpuint(get_stats(&cluster).runs, ==, 2 * EXECUTORS - 1);
+	waxwing_cell_hold_answered(cluster.fixture.cell, cluster.fixture.now_ms,
+				   cluster.executors[0].handle, &late);
+	g_assert_cmpuint(get_stats(&cluster).runs, ==, 2 * EXECUTORS - 1);
+	g_assert_cmpuint(get_stats(&cluster).lapsed, ==, 0);
+	g_assert_cmpuint(get_stats(&cluster).usable, ==, EXECUTORS);
+	run_cluster(&cluster, 2 * GIVE_UP_MS);
+	g_assert_cmpuint(get_stats(&cluster).lapsed, ==, 0);
+	tear_down_cluster(&cluster);
+}
+
+/*
+ * Guards against a run that is taken for missing because a hold that was sent before its start was
+ * answered after another one was sent.
+ */
+static void test_missing_by_own_call(void)
+{
+	struct waxwing_cell_ops ops = hedge_ops();
+	struct cluster cluster;
+	struct waxwing_hold_answer answer = { .result = WAXWING_HOLD_ANSWERED };
+	struct fake before;
+	guint first;
+
+	set_up_cluster(&cluster, &ops, 2);
+	first = await_hold(&cluster);
+	before = cluster.executors[0];
+	call_at(&cluster, first)->answered = true;
+	offer(&cluster.fixture, 2, EXECUTORS, 1000, 5000, false);
+	advance(&cluster.fixture, TICK_MS);
+	confirm_starts(&cluster, EXECUTORS);
+	cluster.executors[0].silent = true;
+	run_cluster(&cluster, WAIT_MS + TIMEOUT_MS + 2 * TICK_MS);
+	g_assert_cmpuint(get_stats(&cluster).holds_hedged, ==, 1);
+	/* the first hold is answered, as it was before the run started */
+	answer.call = call_at(&cluster, first)->number;
+	answer.clock_ms = CLOCK_OFFSET_MS + cluster.fixture.now_ms;
+	answer.running = before.runs;
+	answer.running_count = before.run_count;
+	waxwing_cell_hold_answered(cluster.fixture.cell, cluster.fixture.now_ms,
+				   cluster.executors[0].handle, &answer);
+	g_assert_cmpuint(get_stats(&cluster).lapsed, ==, 0);
+	tear_down_cluster(&cluster);
+}
+
+/* Guards against a flood of second calls when the owner is cut off from all executors. */
+static void test_all_silent(void)
+{
+	struct waxwing_cell_ops ops = hedge_ops();
+	struct cluster cluster;
+	guint before;
+
+	set_up_cluster(&cluster, &ops, 2);
+	for (int i = 0; i < EXECUTORS; i++)
+		cluster.executors[i].silent = true;
+	run_cluster(&cluster, GIVE_UP_MS + WAIT_MS);
+	g_assert_cmpuint(get_stats(&cluster).holds_hedged, ==, EXECUTORS);
+	g_assert_cmpuint(get_stats(&cluster).usable, ==, 0);
+	before = cluster.calls->len;
+	run_cluster(&cluster, 2200);
+	g_assert_cmpuint(get_stats(&cluster).holds_hedged, ==, EXECUTORS);
+	/* each is given up after 350 ms, and followed by the next after 200 ms */
+	g_assert_cmpuint(cluster.calls->len - before, <=, 4 * EXECUTORS);
+	tear_down_cluster(&cluster);
+}
+
+/* Guards against slow answers that are taken for lost ones. */
+static void test_slow(gconstpointer slows_down)
+{
+	struct waxwing_cell_ops ops = hedge_ops();
+	struct cluster cluster;
+	uint64_t hedged;
+
+	set_up_cluster(&cluster, &ops, slows_down ? 2 : 60);
+	if (slows_down) {
+		cluster.answer_ms = 60;
+		run_cluster(&cluster, 1000);
+	}
+	hedged = get_stats(&cluster).holds_hedged;
+	g_assert_cmpuint(hedged, <=, slows_down ? EXECUTORS : 0);
+	run_cluster(&cluster, 5000);
+	g_assert_cmpuint(get_stats(&cluster).holds_hedged, ==, hedged);
+	g_assert_cmpuint(get_stats(&cluster).usable, ==, EXECUTORS);
+	tear_down_cluster(&cluster);
+}
+
+/* Guards against a hedge for each executor when the owner itself was paused. */
+static void test_owner_paused(void)
+{
+	struct waxwing_cell_ops ops = hedge_ops();
+	struct cluster cluster;
+
+	set_up_cluster(&cluster, &ops, 2);
+	cluster.fixture.now_ms += WAIT_MS + TIMEOUT_MS;
+	run_cluster(&cluster, 1000);
+	g_assert_cmpuint(get_stats(&cluster).holds_hedged, ==, 0);
+	tear_down_cluster(&cluster);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/cell/hedge/lost_hold", test_lost_hold);
+	g_test_add_func("/cell/hedge/both_lost", test_both_lost);
+	g_test_add_func("/cell/hedge/overtaken", test_overtaken);
+	g_test_add_func("/cell/hedge/missing_by_own_call", test_missing_by_own_call);
+	g_test_add_func("/cell/hedge/all_silent", test_all_silent);
+	g_test_add_data_func("/cell/hedge/slow/always", NULL, test_slow);
+	g_test_add_data_func("/cell/hedge/slow/later", "later", test_slow);
+	g_test_add_func("/cell/hedge/owner_paused", test_owner_paused);
+	return g_test_run();
+}
--- a/test/test_cell_idle.c
+++ b/test/test_cell_idle.c
@@ -87,12 +87,12 @@
 	return NULL;
 }
 
-static void model_hold(void *data, const struct waxwing_order_target *target, int64_t until_ms,
-		       uint64_t acked_upto, uint32_t wait_ms)
+static void model_hold(void *data, const struct waxwing_order_target *target, uint64_t call,
+		       int64_t until_ms, uint64_t acked_upto, uint32_t wait_ms)
 {
 	struct model_executor *executor;
 
-	record_hold(data, target, until_ms, acked_upto, wait_ms);
+	record_hold(data, target, call, until_ms, acked_upto, wait_ms);
 	for (int i = 0; i < EXECUTORS; i++) {
 		executor = &current->executors[i];
 		if (strcmp(executor->id, target->id) != 0)
