While calls are lost, overdue ends are asked for

Cause: the end of a run on an executor whose hold was lost is known when that hold is overdue, up to 290 ms later.

Change: for 5 s after a call in the cell was not answered, an executor whose run's expected end has passed by 30 to 500 ms is asked by a hedge, at most every 60 ms.

Test: /cell/hedge/hidden_end/losses fails without it; hidden_end/none shows that nothing is asked while no call is lost.

--- a/src/cell/cell_hold.c
+++ b/src/cell/cell_hold.c
@@ -41,6 +41,15 @@
  */
 #define OWNER_PAUSE_MS 30
 
+/* For this time after a call was lost, ends that are overdue are asked for. */
+#define LOSSES_RECENT_MS 5000
+/* A run is overdue this long after its expected end. */
+#define END_OVERDUE_MS 30
+/* After this time, the run takes longer than expected: its end is not taken for hidden. */
+#define END_HIDDEN_MAX_MS 500
+/* Shortest interval at which an executor is asked for overdue ends. */
+#define END_ASK_INTERVAL_MS 60
+
 /* Returns true if executors have runs of durable jobs, or ends that were not acknowledged. */
 static bool has_durable_work(const struct waxwing_cell *cell)
 {
@@ -125,16 +134,44 @@
 		g_array_remove_range(executor->pending_acks, 0, ready);
 }
 
+static bool run_is_overdue(const struct cell_run *run, int64_t now_ms)
+{
+	double late_ms;
+
+	if (!run->job || run->job->ended || run->state != RUN_RUNNING || run_is_long_running(run))
+		return false;
+	late_ms = (double)(now_ms - run->started_ms) -
+		  step_work_ms(run->job, run->job->steps[run->id.step].spec) /
+			  run->executor->speed.value;
+	return late_ms >= END_OVERDUE_MS && late_ms < END_HIDDEN_MAX_MS;
+}
+
+/* Returns true if a run should have ended and the answer that lists its end may be lost. */
+static bool end_may_be_hidden(const struct waxwing_cell *cell, const struct executor *executor,
+			      int64_t now_ms)
+{
+	if (!cell->last_lost_ms || now_ms - cell->last_lost_ms >= LOSSES_RECENT_MS)
+		return false;
+	if (now_ms - MAX(executor->last_answer_ms, executor->last_hedge_ms) < END_ASK_INTERVAL_MS)
+		return false;
+	for (guint i = 0; i < executor->runs->len; i++)
+		if (run_is_overdue(executor->runs->pdata[i], now_ms))
+			return true;
+	return false;
+}
+
 /* Returns true if the executor may have lost the regular hold, and another one may go out. */
-static bool hedge_is_due(const struct executor *executor, int64_t now_ms)
+static bool hedge_is_due(const struct waxwing_cell *cell, const struct executor *executor,
+			 int64_t now_ms)
 {
 	const struct hold_call *call = regular_call(executor);
 
 	/* an executor that is out of use already is called at intervals */
 	if (!call->in_flight || other_call_in_flight(executor) || executor->unresponsive)
 		return false;
-	return call->may_hedge && now_ms >= call->overdue_ms &&
-	       !call_is_lost(executor, call, now_ms);
+	if (call->may_hedge && now_ms >= call->overdue_ms)
+		return !call_is_lost(executor, call, now_ms);
+	return end_may_be_hidden(cell, executor, now_ms);
 }
 
 /* Returns a free record for the next call. */
@@ -208,6 +245,7 @@
 	extend_leases(cell, executor, now_ms, &until_ms);
 	call = begin_call(cell, executor, now_ms, true, 0);
 	cell->holds_hedged++;
+	executor->last_hedge_ms = now_ms;
 	executor_target(cell, executor, &target);
 	cell->options.ops->hold(cell->options.data, &target, call->number, until_ms, 0, 0);
 }
@@ -226,7 +264,7 @@
 
 		if (hold_is_due(executor, now_ms, refresh_ms))
 			send_hold(cell, executor, now_ms);
-		else if (now_ms >= cell->hedge_after_ms && hedge_is_due(executor, now_ms))
+		else if (now_ms >= cell->hedge_after_ms && hedge_is_due(cell, executor, now_ms))
 			send_hedge(cell, executor, now_ms);
 	}
 }
--- a/test/test_cell_hedge.c
+++ b/test/test_cell_hedge.c
@@ -376,6 +376,42 @@
 	tear_down_cluster(&cluster);
 }
 
+/*
+ * Guards against ends that are known late: while calls are lost, an executor is asked once a run
+ * should have ended, not when its hold is overdue.
+ */
+static void test_hidden_end(gconstpointer losses)
+{
+	struct waxwing_cell_ops ops = hedge_ops();
+	struct cluster cluster;
+	int64_t started_ms;
+	guint lost;
+
+	set_up_cluster(&cluster, &ops, 2);
+	offer(&cluster.fixture, 2, EXECUTORS, 1000, 1000, false);
+	advance(&cluster.fixture, TICK_MS);
+	g_assert_cmpuint(cluster.fixture.recorder.starts->len, ==, 2 * EXECUTORS);
+	confirm_starts(&cluster, EXECUTORS);
+	started_ms = cluster.fixture.now_ms;
+	lost = await_hold(&cluster);
+	if (losses) {
+		call_at(&cluster, lost)->answered = true;
+		run_cluster(&cluster, GIVE_UP_MS);
+		lose(&cluster, call_at(&cluster, lost));
+		lost = await_hold(&cluster);
+	}
+	/* before any run has ended, 1.45 times the estimate is expected */
+	while (cluster.fixture.now_ms < started_ms + 1400)
+		lost = await_hold(&cluster);
+	call_at(&cluster, lost)->answered = true;
+	end_run(&cluster, 0, 1);
+	run_cluster(&cluster, 130);
+	g_assert_cmpuint(get_stats(&cluster).done, ==, losses ? 1 : 0);
+	run_cluster(&cluster, WAIT_MS + TIMEOUT_MS);
+	g_assert_cmpuint(get_stats(&cluster).done, ==, 1);
+	tear_down_cluster(&cluster);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -386,6 +422,8 @@
 	g_test_add_func("/cell/hedge/all_silent", test_all_silent);
 	g_test_add_data_func("/cell/hedge/slow/always", NULL, test_slow);
 	g_test_add_data_func("/cell/hedge/slow/later", "later", test_slow);
+	g_test_add_data_func("/cell/hedge/hidden_end/losses", "losses", test_hidden_end);
+	g_test_add_data_func("/cell/hedge/hidden_end/none", NULL, test_hidden_end);
 	g_test_add_func("/cell/hedge/owner_paused", test_owner_paused);
 	return g_test_run();
 }
