A list shows what became of a start without an answer

Cause: a start without an answer was stopped at once, also when the task was running, its task waited 80 ms after the stop, and its executor got no runs for 300 ms.

Change: the list of runs is asked for first, by a hedged hold. A listed run goes on. One that is not listed, or for which no list comes within the timeout of a hold, is stopped as before. A list asked for after the stop was answered that does not contain the run shows that it never ran; a run that was listed meanwhile goes by the former rules. The executor stays in use if it has answered another call within the last second. Gangs are stopped at once as before.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -26,6 +26,7 @@
 	cell->options = *options;
 	cell->options.name = g_strdup(options->name);
 	cell->created_ms = now_ms;
+	cell->last_holds_ms = now_ms;
 	cell->owned_until_ms = INT64_MAX;
 	cell->next_handle = 1;
 	cell->jobs = g_hash_table_new(job_key_hash, job_key_equal);
@@ -125,6 +126,7 @@
 		.starts_unanswered = cell->starts_unanswered,
 		.holds_hedged = cell->holds_hedged,
 		.hedges_answered = cell->hedges_answered,
+		.starts_confirmed = cell->starts_confirmed,
 		.done = cell->done,
 		.failed = cell->failed,
 		.lapsed = cell->lapsed,
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -398,6 +398,7 @@
 	uint64_t starts_unanswered; /**< start orders whose outcome is not known */
 	uint64_t holds_hedged; /**< second holds, sent while the first was outstanding */
 	uint64_t hedges_answered; /**< second holds that were answered before the first */
+	uint64_t starts_confirmed; /**< unanswered starts whose run was then listed as running */
 	uint64_t done;
 	uint64_t failed;
 	uint64_t lapsed;
--- a/src/cell/cell_hold.c
+++ b/src/cell/cell_hold.c
@@ -73,6 +73,12 @@
 	return &executor->calls[executor->regular_call];
 }
 
+/* Returns true if the call was sent before another one was answered, when @last_call was the last. */
+static bool sent_by(const struct hold_call *call, uint64_t last_call)
+{
+	return !call->in_order && call->number <= last_call;
+}
+
 /* Returns true if the call is overdue and a later answer shows that the executor is there. */
 static bool call_is_lost(const struct executor *executor, const struct hold_call *call,
 			 int64_t now_ms)
@@ -134,6 +140,12 @@
 		g_array_remove_range(executor->pending_acks, 0, ready);
 }
 
+/* Returns true if a list is wanted and no call was sent for it. */
+static bool list_is_due(const struct executor *executor)
+{
+	return executor->list_wanted && executor->last_call <= executor->list_after_call;
+}
+
 static bool run_is_overdue(const struct cell_run *run, int64_t now_ms)
 {
 	double late_ms;
@@ -171,7 +183,7 @@
 		return false;
 	if (call->may_hedge && now_ms >= call->overdue_ms)
 		return !call_is_lost(executor, call, now_ms);
-	return end_may_be_hidden(cell, executor, now_ms);
+	return list_is_due(executor) || end_may_be_hidden(cell, executor, now_ms);
 }
 
 /* Returns a free record for the next call. */
@@ -216,7 +228,7 @@
 	struct waxwing_order_target target;
 	int64_t until_ms;
 	bool may_wait = extend_leases(cell, executor, now_ms, &until_ms);
-	bool list_now; /* answer at once: ends must be listed again before their acknowledgement */
+	bool list_now; /* answer at once: a list is awaited, or ends must be listed again before their acknowledgement */
 	bool fresh;
 	uint32_t wait_ms = executor->unknown_runs ? UNKNOWN_RUNS_WAIT_MS : HOLD_WAIT_MS;
 	struct hold_call *call;
@@ -224,7 +236,8 @@
 	executor->hold_requested = false;
 	update_ackable_ends(cell, executor, now_ms);
 	fresh = now_ms - executor->last_answer_ms <= MAX_ACK_DELAY_MS;
-	list_now = !fresh && executor->ackable_upto > executor->acked_upto;
+	list_now =
+		list_is_due(executor) || (!fresh && executor->ackable_upto > executor->acked_upto);
 	call = begin_call(cell, executor, now_ms, false, may_wait && !list_now ? wait_ms : 0);
 	if (fresh)
 		call->acking_upto = executor->ackable_upto;
@@ -319,7 +332,10 @@
 		task_set_checkpoint(checkpoint_task(run->job, run->id.step, run->id.index),
 				    row->checkpoint);
 	}
+	cell->starts_confirmed += run->start_lost && run->state == RUN_STARTING;
 	run->start_unconfirmed = false;
+	run->start_lost = false;
+	run->list_deadline_ms = 0;
 	if (run->state == RUN_STARTING) {
 		run->state = RUN_RUNNING;
 		run->started_ms = now_ms;
@@ -338,6 +354,15 @@
 	return false;
 }
 
+/* Returns true if the run is known to have ended or never to have run, as the call's answer lacks it. */
+static bool is_gone(const struct cell_run *run, const struct hold_call *call)
+{
+	/* the stop was answered before the call was sent, and a later start is rejected */
+	if (run->start_lost && run->stop_deadline_ms && call->number > run->list_after_call)
+		return true;
+	return !run->start_unconfirmed && run->started_ms < call->sent_ms;
+}
+
 /* Ends runs that started before the hold was sent but that its answer does not list. */
 static void end_missing_runs(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms,
 			     const struct hold_call *call, const struct waxwing_hold_answer *answer)
@@ -345,11 +370,14 @@
 	for (guint i = executor->runs->len; i-- > 0;) {
 		struct cell_run *run = executor->runs->pdata[i];
 
-		if (!run->start_unconfirmed && run->started_ms < call->sent_ms &&
-		    !is_listed(answer, run)) {
+		if (is_listed(answer, run))
+			continue;
+		if (is_gone(run, call)) {
 			waxwing_event("run_vanished", "executor=%s job=%016llx run=%u",
 				      executor->id, (unsigned long long)run->id.job, run->id.run);
 			run_ended(cell, run, WAXWING_RUN_LAPSED, now_ms);
+		} else if (run->list_deadline_ms && call->number > run->list_after_call) {
+			run_stop(cell, run, now_ms);
 		}
 	}
 }
@@ -360,7 +388,7 @@
 	bool others_in_flight = executor_hold_in_flight(executor);
 
 	cell->last_lost_ms = now_ms;
-	if (others_in_flight || executor->last_call_at_answer >= call->number) {
+	if (others_in_flight || sent_by(call, executor->last_call_at_answer)) {
 		executor_call_lost(cell, executor, now_ms);
 		executor->hold_requested = true;
 		return;
@@ -382,6 +410,8 @@
 static void handle_state(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms,
 			 const struct hold_call *call, const struct waxwing_hold_answer *answer)
 {
+	if (call->number > executor->list_after_call)
+		executor->list_wanted = false;
 	executor->last_call_at_state = executor->last_call;
 	executor->state_clock_ms = answer->clock_ms;
 	executor_set_clock(executor, now_ms, answer->clock_ms);
@@ -404,7 +434,7 @@
 static bool is_outdated(const struct executor *executor, const struct hold_call *call,
 			const struct waxwing_hold_answer *answer)
 {
-	return call->number <= executor->last_call_at_state &&
+	return sent_by(call, executor->last_call_at_state) &&
 	       answer->clock_ms <= executor->state_clock_ms;
 }
 
@@ -427,6 +457,8 @@
 		handle_ended(cell, executor, now_ms, &answer->ended[i]);
 	if (!outdated)
 		handle_state(cell, executor, now_ms, call, answer);
+	else if (executor->list_wanted)
+		executor->list_after_call = executor->last_call; /* ask again */
 	update_ackable_ends(cell, executor, now_ms);
 	executor->next_hold_ms = now_ms + (executor->pending_acks->len ? STORE_WAIT_MS : 0);
 	executor->accepted_ms = MAX(executor->accepted_ms, call->sent_ms);
@@ -471,8 +503,7 @@
 	/* an earlier time, too: the executor's clock may have been set back */
 	if (!answer->started_ms || answer->started_ms == executor->started_ms)
 		return true;
-	if (executor->started_ms && executor->last_call_at_state &&
-	    call->number <= executor->last_call_at_state)
+	if (executor->started_ms && sent_by(call, executor->last_call_at_state))
 		return false;
 	if (executor->started_ms)
 		executor_reset(executor, now_ms);
@@ -493,11 +524,12 @@
 	sent = *record;
 	record->in_flight = false;
 	if (!answer->call)
-		sent.number = UINT64_MAX; /* not overtaken by any other */
+		sent.in_order = true;
 	if (answer->result != WAXWING_HOLD_NO_ANSWER) {
 		if (call->in_flight)
 			learn_answer_time(cell, call, now_ms);
 		executor->last_call_at_answer = executor->last_call;
+		executor->last_heard_ms = now_ms;
 		cell->hedges_answered += call->hedge && regular_call(executor)->in_flight;
 	}
 	switch (answer->result) {
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -167,6 +167,7 @@
 	int64_t overdue_ms; /* by then, an answer that is not lost has come */
 	uint32_t wait_ms;
 	uint64_t acking_upto; /* it acknowledges ends up to this number */
+	bool in_order; /* it was answered before any later call was sent */
 };
 
 struct executor {
@@ -192,6 +193,9 @@
 	uint64_t last_call; /* number of the last call */
 	uint64_t last_call_at_state; /* last_call when the last state was received */
 	int64_t state_clock_ms; /* the executor's clock in the answer that shows its last state */
+	bool list_wanted; /* by a call that is sent after the one numbered list_after_call */
+	uint64_t list_after_call;
+	int64_t last_heard_ms; /* when a call of any kind was last answered */
 	uint64_t last_call_at_answer; /* last_call when the last answer was received */
 	int64_t last_hedge_ms;
 	int64_t last_lost_ms; /* when a call was last found to be unanswered */
@@ -236,6 +240,10 @@
 	 * without it does not show that it ended.
 	 */
 	bool start_unconfirmed;
+	bool start_lost; /* the start was not answered, and no list has shown the run since */
+	uint64_t
+		list_after_call; /* if start_lost: a list by a later call shows what became of it */
+	int64_t list_deadline_ms; /* if there is no such list by then, it is stopped; 0: none */
 	int64_t started_ms; /* when the start was answered, or sent if not answered */
 	int64_t next_stop_ms; /* when to repeat the stop order */
 	int64_t stop_deadline_ms; /* time by which a stopped run has ended; 0: stop is repeated */
@@ -293,6 +301,7 @@
 	uint64_t starts_unanswered;
 	uint64_t holds_hedged;
 	uint64_t hedges_answered;
+	uint64_t starts_confirmed;
 	uint64_t done;
 	uint64_t failed;
 	uint64_t lapsed;
--- a/src/cell/cell_run.c
+++ b/src/cell/cell_run.c
@@ -13,6 +13,8 @@
  * task.
  */
 #define START_FAILURE_WEIGHT 1.0
+/* A call that is lost this soon after another one was answered does not put an executor out of use. */
+#define HEARD_RECENTLY_MS 1000
 /* Weight of one executor's speed in the moving average of its hardware kind. */
 #define KIND_LEARNING_RATE 0.05
 /* Increment of a task's run number after its executor rejected it as too old. */
@@ -108,6 +110,7 @@
 	struct waxwing_order_target target;
 
 	run->state = RUN_STOPPING;
+	run->list_deadline_ms = 0;
 	run->next_stop_ms = now_ms + STOP_RETRY_MS;
 	executor_target(cell, run->executor, &target);
 	cell->options.ops->stop(cell->options.data, &target, &run->id);
@@ -211,6 +214,49 @@
 		requeue_task(cell, job, step, index);
 }
 
+/* Asks for a list that shows what became of a run whose start was not answered. */
+static void ask_for_list(struct cell_run *run)
+{
+	struct executor *executor = run->executor;
+
+	run->list_after_call = executor->last_call;
+	executor->list_after_call = executor->last_call;
+	executor->list_wanted = true;
+	executor->hold_requested = true;
+}
+
+/*
+ * The run may have started, or may start later. It is stopped unless a list shows that it runs. The
+ * members of a gang are all stopped at once.
+ */
+static void handle_lost_start(struct waxwing_cell *cell, struct cell_run *run, int64_t now_ms,
+			      bool gang)
+{
+	struct executor *executor = run->executor;
+	bool heard = now_ms - executor->last_heard_ms < HEARD_RECENTLY_MS;
+
+	cell->starts_unanswered++;
+	waxwing_event("start_unanswered",
+		      "job=%016llx step=%u index=%u run=%u executor=%s heard=%d",
+		      (unsigned long long)run->id.job, run->id.step, run->id.index, run->id.run,
+		      executor->id, heard);
+	run->start_lost = true;
+	if (heard) {
+		executor_call_lost(cell, executor, now_ms);
+	} else {
+		executor_add_failure(cell, executor, now_ms, START_FAILURE_WEIGHT);
+		executor->backoff_until_ms = now_ms + EXECUTOR_BACKOFF_MS;
+		cell->last_lost_ms = now_ms;
+	}
+	if (gang || executor->unresponsive || run->state == RUN_STOPPING) {
+		run_stop(cell, run, now_ms);
+		return;
+	}
+	run->list_deadline_ms = now_ms + waxwing_answer_time_timeout_ms(&cell->answer_time, now_ms,
+									WAXWING_HOLD_TIMEOUT_MS);
+	ask_for_list(run);
+}
+
 void waxwing_cell_start_answered(struct waxwing_cell *cell, int64_t now_ms, uint64_t handle,
 				 const struct waxwing_run_id *id, enum waxwing_start_answer answer,
 				 int64_t clock_ms)
@@ -222,6 +268,8 @@
 	if (!executor)
 		return;
 	executor_set_clock(executor, now_ms, clock_ms);
+	if (answer != WAXWING_START_UNKNOWN && answer != WAXWING_START_UNREACHABLE)
+		executor->last_heard_ms = now_ms;
 	if (!run || (run->state != RUN_STARTING && run->state != RUN_STOPPING))
 		return;
 	if (run->job && !run->job->ended && run->job->steps[id->step].spec->gang &&
@@ -275,13 +323,7 @@
 		discard_unstarted(cell, run, "unreachable");
 		break;
 	case WAXWING_START_UNKNOWN:
-		cell->starts_unanswered++;
-		waxwing_event("start_unanswered", "job=%016llx step=%u index=%u run=%u executor=%s",
-			      (unsigned long long)id->job, id->step, id->index, id->run,
-			      executor->id);
-		executor_add_failure(cell, executor, now_ms, START_FAILURE_WEIGHT);
-		executor->backoff_until_ms = now_ms + EXECUTOR_BACKOFF_MS;
-		run_stop(cell, run, now_ms);
+		handle_lost_start(cell, run, now_ms, gang_of != NULL);
 		break;
 	}
 	/* the other members cannot proceed without this one */
@@ -295,17 +337,22 @@
 	struct executor *executor = cell_find_executor(cell, handle);
 	struct cell_run *run = executor ? run_find(executor, id) : NULL;
 
+	if (executor && answered)
+		executor->last_heard_ms = now_ms;
 	if (!run || run->state != RUN_STOPPING)
 		return;
 	if (!answered || run->stop_deadline_ms)
 		return; /* the scan repeats the stop order until the lease has expired */
 	/*
 	 * The run ends within stop_ms, and a later start of it is rejected. If it ran, a hold lists
-	 * its end; if it never ran, the first hold sent after that time does not list it.
+	 * its end; if it never ran, the first hold sent after that time does not list it. A run
+	 * that no list has shown before has not run if a hold sent from now on does not list it.
 	 */
 	run->start_unconfirmed = false;
 	run->started_ms = now_ms + cell->options.stop_ms;
 	run->stop_deadline_ms = now_ms + cell->options.stop_ms + REMOTE_TIME_MARGIN_MS;
+	if (run->start_lost)
+		ask_for_list(run);
 	executor->hold_requested = true;
 }
 
--- a/src/cell/cell_scan.c
+++ b/src/cell/cell_scan.c
@@ -88,6 +88,9 @@
 			    now_ms >= run->stop_deadline_ms)
 				run_release_task(cell, run);
 
+			/* no list has shown whether it has started */
+			if (run->list_deadline_ms && now_ms >= run->list_deadline_ms)
+				run_stop(cell, run, now_ms);
 			if (again || orphan)
 				run_stop(cell, run, now_ms);
 		}
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -323,6 +323,7 @@
 				       "waxwing_cell_starts_unanswered_total{cell=\"%s\"} %llu\n"
 				       "waxwing_cell_holds_hedged_total{cell=\"%s\"} %llu\n"
 				       "waxwing_cell_hedges_answered_total{cell=\"%s\"} %llu\n"
+				       "waxwing_cell_starts_confirmed_total{cell=\"%s\"} %llu\n"
 				       "waxwing_cell_done_total{cell=\"%s\"} %llu\n"
 				       "waxwing_cell_failed_total{cell=\"%s\"} %llu\n"
 				       "waxwing_cell_lapsed_total{cell=\"%s\"} %llu\n"
@@ -334,6 +335,7 @@
 				       (unsigned long long)stats.starts_unanswered, cell->name,
 				       (unsigned long long)stats.holds_hedged, cell->name,
 				       (unsigned long long)stats.hedges_answered, cell->name,
+				       (unsigned long long)stats.starts_confirmed, cell->name,
 				       (unsigned long long)stats.done, cell->name,
 				       (unsigned long long)stats.failed, cell->name,
 				       (unsigned long long)stats.lapsed, cell->name,
--- a/test/cell_fixture.h
+++ b/test/cell_fixture.h
@@ -253,6 +253,19 @@
 	waxwing_cell_hold_answered(fixture->cell, fixture->now_ms, handle, &answer);
 }
 
+/* Answers the last hold, which was sent to @handle: nothing is running, and nothing has ended. */
+static G_GNUC_UNUSED void answer_last_hold(struct fixture *fixture, uint64_t handle)
+{
+	struct waxwing_hold_answer answer = {
+		.result = WAXWING_HOLD_ANSWERED,
+		.call = fixture->recorder.last_call,
+		.clock_ms = CLOCK_OFFSET_MS + fixture->now_ms,
+	};
+
+	g_assert_cmpuint(fixture->recorder.handle, ==, handle);
+	waxwing_cell_hold_answered(fixture->cell, fixture->now_ms, handle, &answer);
+}
+
 /* Adds an executor that has answered a hold; returns its handle. */
 static G_GNUC_UNUSED uint64_t ready_executor(struct fixture *fixture, const char *id,
 					     uint32_t cpu_milli)
--- a/test/test_cell_hedge.c
+++ b/test/test_cell_hedge.c
@@ -71,6 +71,23 @@
 	return NULL;
 }
 
+/* Returns the executor's only outstanding call. */
+static const struct call *outstanding_call(const struct cluster *cluster, int executor)
+{
+	const struct call *found = NULL;
+
+	for (guint i = 0; i < cluster->calls->len; i++) {
+		const struct call *call = call_at(cluster, i);
+
+		if (call->executor != executor || call->answered)
+			continue;
+		g_assert_null(found);
+		found = call;
+	}
+	g_assert_nonnull(found);
+	return found;
+}
+
 /* Answers a call with the state that the executor has now. */
 static void answer_now(struct cluster *cluster, struct call *call)
 {
@@ -412,6 +429,139 @@
 	tear_down_cluster(&cluster);
 }
 
+/* Starts one more task, whose start is not answered; returns its executor. */
+static int lose_start(struct cluster *cluster, bool executed)
+{
+	struct start *start;
+	struct fake *executor;
+
+	offer(&cluster->fixture, 2, 1, 1000, 60000, false);
+	advance(&cluster->fixture, TICK_MS);
+	g_assert_cmpuint(cluster->fixture.recorder.starts->len, ==, EXECUTORS + 1);
+	start = start_at(&cluster->fixture, EXECUTORS);
+	executor = &cluster->executors[start->executor[0] - 'a'];
+	if (executed)
+		executor->runs[executor->run_count++] =
+			(struct waxwing_running_run){ start->run_id, NULL };
+	run_cluster(cluster, TIMEOUT_MS);
+	waxwing_cell_start_answered(cluster->fixture.cell, cluster->fixture.now_ms, start->handle,
+				    &start->run_id, WAXWING_START_UNKNOWN, 0);
+	return start->executor[0] - 'a';
+}
+
+static void answer_stop(struct cluster *cluster)
+{
+	const struct start *start = start_at(&cluster->fixture, EXECUTORS);
+
+	waxwing_cell_stop_answered(cluster->fixture.cell, cluster->fixture.now_ms, start->handle,
+				   &start->run_id, true);
+}
+
+/* Guards against a run that is stopped, and an executor out of use, because an answer was lost. */
+static void test_start_executed(void)
+{
+	struct waxwing_cell_ops ops = hedge_ops();
+	struct cluster cluster;
+
+	set_up_cluster(&cluster, &ops, 2);
+	lose_start(&cluster, true);
+	g_assert_cmpuint(get_stats(&cluster).usable, ==, EXECUTORS);
+	run_cluster(&cluster, 4 * TICK_MS);
+	g_assert_cmpuint(get_stats(&cluster).starts_confirmed, ==, 1);
+	run_cluster(&cluster, 1000);
+	g_assert_cmpuint(cluster.fixture.recorder.stops->len, ==, 0);
+	g_assert_cmpuint(cluster.fixture.recorder.starts->len, ==, EXECUTORS + 1);
+	g_assert_cmpuint(get_stats(&cluster).runs, ==, EXECUTORS + 1);
+	tear_down_cluster(&cluster);
+}
+
+/* Guards against a task that waits for 80 ms after its stop, although a list shows that it is free. */
+static void test_start_not_executed(void)
+{
+	struct waxwing_cell_ops ops = hedge_ops();
+	struct cluster cluster;
+
+	set_up_cluster(&cluster, &ops, 2);
+	lose_start(&cluster, false);
+	run_cluster(&cluster, 4 * TICK_MS);
+	g_assert_cmpuint(cluster.fixture.recorder.stops->len, ==, 1);
+	/* until the stop was answered, the start may still be carried out */
+	run_cluster(&cluster, 200);
+	g_assert_cmpuint(cluster.fixture.recorder.starts->len, ==, EXECUTORS + 1);
+	answer_stop(&cluster);
+	run_cluster(&cluster, 5 * TICK_MS);
+	g_assert_cmpuint(cluster.fixture.recorder.starts->len, ==, EXECUTORS + 2);
+	g_assert_cmpuint(get_stats(&cluster).usable, ==, EXECUTORS);
+	tear_down_cluster(&cluster);
+}
+
+/* Guards against two runs: the start was carried out between the list and the stop. */
+static void test_start_before_stop(void)
+{
+	struct waxwing_cell_ops ops = hedge_ops();
+	struct cluster cluster;
+	struct fake *executor;
+
+	set_up_cluster(&cluster, &ops, 2);
+	executor = &cluster.executors[lose_start(&cluster, false)];
+	run_cluster(&cluster, 4 * TICK_MS);
+	g_assert_cmpuint(cluster.fixture.recorder.stops->len, ==, 1);
+	executor->runs[executor->run_count++] =
+		(struct waxwing_running_run){ start_at(&cluster.fixture, EXECUTORS)->run_id, NULL };
+	answer_stop(&cluster);
+	run_cluster(&cluster, STOP_MS - 2 * TICK_MS);
+	g_assert_cmpuint(cluster.fixture.recorder.starts->len, ==, EXECUTORS + 1);
+	executor->run_count--;
+	executor->ended[executor->ended_count++] =
+		(struct waxwing_ended_run){ 1, start_at(&cluster.fixture, EXECUTORS)->run_id,
+					    WAXWING_RUN_STOPPED, NULL };
+	run_cluster(&cluster, WAIT_MS + TIMEOUT_MS);
+	g_assert_cmpuint(cluster.fixture.recorder.starts->len, ==, EXECUTORS + 2);
+	tear_down_cluster(&cluster);
+}
+
+/* Guards against two runs: a hold that was sent before the stop was answered lists too early. */
+static void test_list_before_stop(void)
+{
+	struct waxwing_cell_ops ops = hedge_ops();
+	struct cluster cluster;
+	struct waxwing_hold_answer early = { .result = WAXWING_HOLD_ANSWERED };
+	const struct call *regular;
+	int executor;
+
+	set_up_cluster(&cluster, &ops, 2);
+	executor = lose_start(&cluster, false);
+	run_cluster(&cluster, 4 * TICK_MS);
+	g_assert_cmpuint(cluster.fixture.recorder.stops->len, ==, 1);
+	cluster.executors[executor].silent = true;
+	regular = outstanding_call(&cluster, executor);
+	answer_stop(&cluster);
+	early.call = regular->number;
+	early.clock_ms = CLOCK_OFFSET_MS + cluster.fixture.now_ms + 1;
+	early.running = cluster.executors[executor].runs;
+	early.running_count = cluster.executors[executor].run_count;
+	waxwing_cell_hold_answered(cluster.fixture.cell, cluster.fixture.now_ms,
+				   cluster.executors[executor].handle, &early);
+	run_cluster(&cluster, STOP_MS);
+	g_assert_cmpuint(cluster.fixture.recorder.starts->len, ==, EXECUTORS + 1);
+	tear_down_cluster(&cluster);
+}
+
+/* A start whose list is not answered either is stopped. */
+static void test_list_lost(void)
+{
+	struct waxwing_cell_ops ops = hedge_ops();
+	struct cluster cluster;
+
+	set_up_cluster(&cluster, &ops, 2);
+	cluster.executors[lose_start(&cluster, false)].silent = true;
+	run_cluster(&cluster, TIMEOUT_MS - TICK_MS);
+	g_assert_cmpuint(cluster.fixture.recorder.stops->len, ==, 0);
+	run_cluster(&cluster, 4 * TICK_MS);
+	g_assert_cmpuint(cluster.fixture.recorder.stops->len, ==, 1);
+	tear_down_cluster(&cluster);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -424,6 +574,11 @@
 	g_test_add_data_func("/cell/hedge/slow/later", "later", test_slow);
 	g_test_add_data_func("/cell/hedge/hidden_end/losses", "losses", test_hidden_end);
 	g_test_add_data_func("/cell/hedge/hidden_end/none", NULL, test_hidden_end);
+	g_test_add_func("/cell/hedge/start_executed", test_start_executed);
+	g_test_add_func("/cell/hedge/start_not_executed", test_start_not_executed);
+	g_test_add_func("/cell/hedge/start_before_stop", test_start_before_stop);
+	g_test_add_func("/cell/hedge/list_before_stop", test_list_before_stop);
+	g_test_add_func("/cell/hedge/list_lost", test_list_lost);
 	g_test_add_func("/cell/hedge/owner_paused", test_owner_paused);
 	return g_test_run();
 }
