Starts and stops wait only as long as answers usually take

Cause: a start that was not answered held its task and capacity for 200 ms, a stop for 350 ms, while answers take a few milliseconds.

Change: both use the timeout that is learned from the cell's answers; starts are measured. Starts that are given up earlier than after 200 ms count against it, so that slow answers bring the fixed timeout back. A stop without an answer is repeated once at once if the executor has answered another call within the last second.

Tests: /cell/hedge/start_timeout and stop_lost, which fail without it.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -85,6 +85,12 @@
 	cell->owned_until_ms = confirmed ? until_ms : MIN(cell->owned_until_ms, now_ms);
 }
 
+int64_t waxwing_cell_answer_timeout_ms(struct waxwing_cell *cell, int64_t now_ms,
+				       int64_t longest_ms)
+{
+	return waxwing_answer_time_timeout_ms(&cell->answer_time, now_ms, longest_ms);
+}
+
 void waxwing_cell_set_list_complete(struct waxwing_cell *cell)
 {
 	cell->options.list_incomplete = false;
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -371,6 +371,13 @@
 /** Stops all jobs, except durable ones, of an issuer that is unreachable or has left. */
 void waxwing_cell_stop_issuer_jobs(struct waxwing_cell *cell, int64_t now_ms, uint64_t issuer);
 
+/**
+ * Returns how long to wait for the answer to a start or a stop that is sent now, at most
+ * @longest_ms: less while the cell's executors are known to answer soon.
+ */
+int64_t waxwing_cell_answer_timeout_ms(struct waxwing_cell *cell, int64_t now_ms,
+				       int64_t longest_ms);
+
 void waxwing_cell_start_answered(struct waxwing_cell *cell, int64_t now_ms, uint64_t handle,
 				 const struct waxwing_run_id *id, enum waxwing_start_answer answer,
 				 int64_t clock_ms);
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -257,6 +257,7 @@
 	run->state = RUN_STARTING;
 	run->start_unconfirmed = true;
 	run->started_ms = now_ms;
+	run->start_sent_ms = now_ms;
 	waxwing_breaker_task_started(&executor->breaker);
 	return run;
 }
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -240,6 +240,8 @@
 	 * without it does not show that it ended.
 	 */
 	bool start_unconfirmed;
+	int64_t start_sent_ms; /* 0: by a former owner */
+	bool stop_resent; /* the stop was repeated as soon as it was found to be lost */
 	bool start_lost; /* the start was not answered, and no list has shown the run since */
 	uint64_t
 		list_after_call; /* if start_lost: a list by a later call shows what became of it */
--- a/src/cell/cell_run.c
+++ b/src/cell/cell_run.c
@@ -214,6 +214,19 @@
 		requeue_task(cell, job, step, index);
 }
 
+static void learn_answer_time(struct waxwing_cell *cell, const struct cell_run *run, int64_t now_ms,
+			      enum waxwing_start_answer answer)
+{
+	int64_t took_ms = now_ms - run->start_sent_ms;
+
+	if (!run->start_sent_ms)
+		return;
+	if (answer != WAXWING_START_UNKNOWN && answer != WAXWING_START_UNREACHABLE)
+		waxwing_answer_time_add(&cell->answer_time, now_ms, took_ms);
+	else if (answer == WAXWING_START_UNKNOWN && took_ms < WAXWING_START_TIMEOUT_MS)
+		waxwing_answer_time_add_cut(&cell->answer_time, now_ms);
+}
+
 /* Asks for a list that shows what became of a run whose start was not answered. */
 static void ask_for_list(struct cell_run *run)
 {
@@ -270,6 +283,8 @@
 	executor_set_clock(executor, now_ms, clock_ms);
 	if (answer != WAXWING_START_UNKNOWN && answer != WAXWING_START_UNREACHABLE)
 		executor->last_heard_ms = now_ms;
+	if (run)
+		learn_answer_time(cell, run, now_ms, answer);
 	if (!run || (run->state != RUN_STARTING && run->state != RUN_STOPPING))
 		return;
 	if (run->job && !run->job->ended && run->job->steps[id->step].spec->gang &&
@@ -341,8 +356,14 @@
 		executor->last_heard_ms = now_ms;
 	if (!run || run->state != RUN_STOPPING)
 		return;
+	/* the scan repeats the stop order until the lease has expired */
+	if (!answered && !run->stop_deadline_ms && !run->stop_resent &&
+	    now_ms - executor->last_heard_ms < HEARD_RECENTLY_MS) {
+		run->stop_resent = true;
+		run->next_stop_ms = now_ms;
+	}
 	if (!answered || run->stop_deadline_ms)
-		return; /* the scan repeats the stop order until the lease has expired */
+		return;
 	/*
 	 * The run ends within stop_ms, and a later start of it is rejected. If it ran, a hold lists
 	 * its end; if it never ran, the first hold sent after that time does not list it. A run
--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -95,6 +95,12 @@
 	g_free(order);
 }
 
+static uint32_t call_timeout_ms(const struct node_cell *cell, int64_t longest_ms)
+{
+	return (uint32_t)waxwing_cell_answer_timeout_ms(cell->owned, node_now(cell->node),
+							longest_ms);
+}
+
 static void order_start(void *data, const struct waxwing_order_target *target,
 			const struct waxwing_run_order *order)
 {
@@ -103,7 +109,7 @@
 	struct waxwing_executor_start start = {
 		.target = target,
 		.order = order,
-		.timeout_ms = WAXWING_START_TIMEOUT_MS,
+		.timeout_ms = call_timeout_ms(cell, WAXWING_START_TIMEOUT_MS),
 		.done = start_done,
 		.data = create_order(cell, target->handle, &order->run_id),
 	};
@@ -119,7 +125,7 @@
 	struct waxwing_executor_stop stop = {
 		.target = target,
 		.run_id = run_id,
-		.timeout_ms = WAXWING_STOP_TIMEOUT_MS,
+		.timeout_ms = call_timeout_ms(cell, WAXWING_STOP_TIMEOUT_MS),
 		.done = stop_done,
 		.data = create_order(cell, target->handle, run_id),
 	};
--- a/test/test_cell_hedge.c
+++ b/test/test_cell_hedge.c
@@ -562,6 +562,48 @@
 	tear_down_cluster(&cluster);
 }
 
+/* A stop whose answer is lost is repeated at once, and then at the usual interval. */
+static void test_stop_lost(void)
+{
+	struct waxwing_cell_ops ops = hedge_ops();
+	struct cluster cluster;
+	const struct start *start;
+
+	set_up_cluster(&cluster, &ops, 2);
+	lose_start(&cluster, false);
+	run_cluster(&cluster, 4 * TICK_MS);
+	for (guint stops = 1; stops <= 2; stops++) {
+		g_assert_cmpuint(cluster.fixture.recorder.stops->len, ==, stops);
+		run_cluster(&cluster, TIMEOUT_MS);
+		start = start_at(&cluster.fixture, EXECUTORS);
+		waxwing_cell_stop_answered(cluster.fixture.cell, cluster.fixture.now_ms,
+					   start->handle, &start->run_id, false);
+		run_cluster(&cluster, 3 * TICK_MS);
+	}
+	g_assert_cmpuint(cluster.fixture.recorder.stops->len, ==, 2);
+	tear_down_cluster(&cluster);
+}
+
+/* Starts wait for their answers as long as 50 answers, one to a hold, have shown to be enough. */
+static void test_start_timeout(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture, false);
+	ready_executor(&fixture, "a", 64000);
+	offer(&fixture, 1, 60, 1000, 60000, false);
+	advance(&fixture, TICK_MS);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 60);
+	fixture.now_ms += 15;
+	for (guint i = 0; i < 60; i++) {
+		g_assert_cmpint(waxwing_cell_answer_timeout_ms(fixture.cell, fixture.now_ms,
+							       WAXWING_START_TIMEOUT_MS),
+				==, i < 49 ? WAXWING_START_TIMEOUT_MS : 60);
+		answer_started(&fixture, i);
+	}
+	tear_down(&fixture);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -579,6 +621,8 @@
 	g_test_add_func("/cell/hedge/start_before_stop", test_start_before_stop);
 	g_test_add_func("/cell/hedge/list_before_stop", test_list_before_stop);
 	g_test_add_func("/cell/hedge/list_lost", test_list_lost);
+	g_test_add_func("/cell/hedge/stop_lost", test_stop_lost);
+	g_test_add_func("/cell/hedge/start_timeout", test_start_timeout);
 	g_test_add_func("/cell/hedge/owner_paused", test_owner_paused);
 	return g_test_run();
 }
