--- a/test/node_sim_executors.h
+++ b/test/node_sim_executors.h
@@ -5,6 +5,9 @@
 #include "node_sim_permits.h"
 #include "node_sim_types.h"
 
+/* Largest delay of an answer that is slow but not given up. */
+#define MAX_SLOW_ANSWER_MS 300
+
 enum executor_order_kind {
 	EXECUTOR_START,
 	EXECUTOR_STOP,
@@ -98,6 +101,7 @@
 {
 	struct cluster_sim *sim = call->sim;
 	const struct sim_executor *executor = &sim->executors[call->executor];
+	int64_t delay_ms = NETWORK_DELAY_MS;
 
 	if (call->delivered_late) {
 		/* The sender's call has already timed out. */
@@ -119,7 +123,10 @@
 		sim_schedule(sim, call->timeout_ms, executor_deliver_answer, call);
 		return;
 	}
-	sim_schedule(sim, NETWORK_DELAY_MS, executor_deliver_answer, call);
+	/* less than the caller's timeout; other answers may overtake it */
+	if (call->kind == EXECUTOR_HOLD && sim_chance(sim, sim->slow_answer_share))
+		delay_ms += g_rand_int_range(sim->random, 5, MAX_SLOW_ANSWER_MS);
+	sim_schedule(sim, delay_ms, executor_deliver_answer, call);
 }
 
 static bool same_task(const struct waxwing_run_id *a, const struct waxwing_run_id *b)
--- a/test/node_sim_types.h
+++ b/test/node_sim_types.h
@@ -234,6 +234,7 @@
 	 */
 	double delayed_order_share;
 	double lost_answer_share; /* share of orders that take effect without an answer */
+	double slow_answer_share; /* of the answers to holds */
 	double lost_message_share; /* share of messages between nodes that are lost */
 	int64_t store_delay_ms; /* one-way delay of the store's calls */
 	uint32_t client_patience_ms;
--- a/test/test_node_lost_answers.c
+++ b/test/test_node_lost_answers.c
@@ -47,10 +47,12 @@
 		sim->lost_answer_share = 0.06;
 		sim->late_order_share = 0.02;
 		sim->delayed_order_share = 0.02;
+		sim->slow_answer_share = 0.1;
 		submit_jobs(sim, FAULTS_MS);
 		sim->lost_answer_share = 0;
 		sim->late_order_share = 0;
 		sim->delayed_order_share = 0;
+		sim->slow_answer_share = 0;
 		hedged += sum_metric(sim, "waxwing_cell_holds_hedged_total");
 		confirmed += sum_metric(sim, "waxwing_cell_starts_confirmed_total");
 		assert_all_answered(sim);
