--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -26,6 +26,7 @@
 	cell->options = *options;
 	cell->options.name = g_strdup(options->name);
 	cell->created_ms = now_ms;
+	cell->last_holds_ms = now_ms;
 	cell->owned_until_ms = INT64_MAX;
 	cell->next_handle = 1;
 	cell->jobs = g_hash_table_new(job_key_hash, job_key_equal);
@@ -84,6 +85,12 @@
 	cell->owned_until_ms = confirmed ? until_ms : MIN(cell->owned_until_ms, now_ms);
 }
 
+int64_t waxwing_cell_answer_timeout_ms(struct waxwing_cell *cell, int64_t now_ms,
+				       int64_t longest_ms)
+{
+	return waxwing_answer_time_timeout_ms(&cell->answer_time, now_ms, longest_ms);
+}
+
 void waxwing_cell_set_list_complete(struct waxwing_cell *cell)
 {
 	cell->options.list_incomplete = false;
@@ -123,6 +130,9 @@
 		.wait_ms = (uint32_t)cell_expected_wait_ms(cell, NULL, now_ms),
 		.starts = cell->starts,
 		.starts_unanswered = cell->starts_unanswered,
+		.holds_hedged = cell->holds_hedged,
+		.hedges_answered = cell->hedges_answered,
+		.starts_confirmed = cell->starts_confirmed,
 		.done = cell->done,
 		.failed = cell->failed,
 		.lapsed = cell->lapsed,
--- a/test/cell_fixture.h
+++ b/test/cell_fixture.h
@@ -20,6 +20,8 @@
 	GArray *verdicts; /* struct verdict */
 	uint64_t handle; /* of the executor that got the last hold */
 	uint32_t holds;
+	uint64_t last_call; /* number of the last hold */
+	uint32_t last_wait_ms;
 	bool last_hold_extends; /* the last hold extended leases */
 	int64_t last_until_ms; /* to when, on the executor's clock; 0: not */
 	uint64_t acked_upto;
@@ -71,12 +73,13 @@
 	g_array_append_val(((struct recorder *)data)->stops, *run_id);
 }
 
-static void record_hold(void *data, const struct waxwing_order_target *target, int64_t until_ms,
-			uint64_t acked_upto, uint32_t wait_ms)
+static void record_hold(void *data, const struct waxwing_order_target *target, uint64_t call,
+			int64_t until_ms, uint64_t acked_upto, uint32_t wait_ms)
 {
 	struct recorder *recorder = data;
 
-	(void)wait_ms;
+	recorder->last_call = call;
+	recorder->last_wait_ms = wait_ms;
 	recorder->handle = target->handle;
 	recorder->holds++;
 	recorder->last_hold_extends = until_ms != 0;
@@ -250,6 +253,19 @@
 	waxwing_cell_hold_answered(fixture->cell, fixture->now_ms, handle, &answer);
 }
 
+/* Answers the last hold, which was sent to @handle: nothing is running, and nothing has ended. */
+static G_GNUC_UNUSED void answer_last_hold(struct fixture *fixture, uint64_t handle)
+{
+	struct waxwing_hold_answer answer = {
+		.result = WAXWING_HOLD_ANSWERED,
+		.call = fixture->recorder.last_call,
+		.clock_ms = CLOCK_OFFSET_MS + fixture->now_ms,
+	};
+
+	g_assert_cmpuint(fixture->recorder.handle, ==, handle);
+	waxwing_cell_hold_answered(fixture->cell, fixture->now_ms, handle, &answer);
+}
+
 /* Adds an executor that has answered a hold; returns its handle. */
 static G_GNUC_UNUSED uint64_t ready_executor(struct fixture *fixture, const char *id,
 					     uint32_t cpu_milli)
