Entries, services and jobs carry how long executors are cold

An owner must know which executors are slow after their start, and how many starts they bear meanwhile. It needs no configuration in its cell, so each job carries the values of its service.

ColdRemainingMs of entries, ColdStartS and ColdPerS of services are read; an invalid value counts as absent and is logged, because the entry or service is usable without it. Nothing uses them yet.

The tests do not compile without the new fields.

--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -60,6 +60,7 @@
 	const char *const *labels; /**< null-terminated; include kind and rack */
 	struct waxwing_capacity capacity;
 	int64_t started_ms; /**< start of its current incarnation, Unix time in ms; 0: unknown */
+	uint32_t cold_remaining_ms; /**< how much longer it is slow after its start; 0: it is not */
 	bool draining;
 };
 
--- a/src/cell/job_check.c
+++ b/src/cell/job_check.c
@@ -67,5 +67,8 @@
 	    job->permit_base_ms > INT32_MAX || job->permit_each_ms > INT32_MAX ||
 	    job->permit_valid_ms > INT32_MAX)
 		return "stretch_milli, allowance_ms, permits";
+	if (job->cold_start_ms > WAXWING_JOB_MAX_COLD_MS ||
+	    job->cold_milli_starts_per_s > WAXWING_JOB_MAX_COLD_MILLI_RATE)
+		return "cold_start_ms, cold_milli_starts_per_s";
 	return invalid_steps(job);
 }
--- a/src/cell/job_check.h
+++ b/src/cell/job_check.h
@@ -22,6 +22,11 @@
 /** Longest response time target as a multiple of a job's critical path, in thousandths. */
 #define WAXWING_JOB_MAX_STRETCH_MILLI 1000000
 
+/** Longest time for which an executor can be cold after its start: one day. */
+#define WAXWING_JOB_MAX_COLD_MS (24U * 3600 * 1000)
+/** Highest rate of starts on a cold executor, in thousandths per second: a million per second. */
+#define WAXWING_JOB_MAX_COLD_MILLI_RATE 1000000000U
+
 /** Returns the name of the first field that is out of its limits; null: the job is valid. */
 const char *waxwing_job_invalid_field(const Waxwing__Job *job);
 
--- a/src/node/routing.c
+++ b/src/node/routing.c
@@ -99,6 +99,23 @@
 	return service;
 }
 
+void waxwing_routing_link_services(struct waxwing_routing *routing)
+{
+	GHashTable *by_name = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (guint i = 0; i < routing->services->len; i++) {
+		struct waxwing_service_route *service = routing->services->pdata[i];
+
+		g_hash_table_replace(by_name, service->name, service);
+	}
+	for (guint i = 0; i < routing->queues->len; i++) {
+		struct waxwing_queue_route *queue = routing->queues->pdata[i];
+
+		queue->service_route = g_hash_table_lookup(by_name, queue->service);
+	}
+	g_hash_table_destroy(by_name);
+}
+
 static struct waxwing_str without_port(struct waxwing_str host)
 {
 	struct waxwing_str head;
--- a/src/node/routing.h
+++ b/src/node/routing.h
@@ -13,11 +13,22 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+struct waxwing_service_route {
+	char *name;
+	bool enforces_capacity; /**< the service's executors reject runs above their capacity */
+	uint32_t max_connections; /**< maximum connections per executor */
+	uint32_t
+		cold_start_ms; /**< how long executors are slow after their start; 0: they are not */
+	double cold_starts_per_s; /**< starts that an executor bears meanwhile; 0: any number */
+};
+
 struct waxwing_queue_route {
 	char *name;
 	char *host; /**< in lower case, without port */
 	char *prefix; /**< prefix of the path; the rest is the job's id */
 	char *service; /**< service whose executors run the queue's tasks */
+	/** the entry of @service; null: there is none, see waxwing_routing_link_services() */
+	const struct waxwing_service_route *service_route;
 	uint32_t priority; /**< 0 is the highest */
 	uint32_t max_attempts; /**< failed runs of a task after which its job fails */
 	double stretch; /**< target response time as a multiple of the job's critical path */
@@ -29,12 +40,6 @@
 	uint32_t permit_valid_ms; /**< validity of a permit */
 };
 
-struct waxwing_service_route {
-	char *name;
-	bool enforces_capacity; /**< the service's executors reject runs above their capacity */
-	uint32_t max_connections; /**< maximum connections per executor */
-};
-
 /** Limits on callers' requests. */
 struct waxwing_request_limits {
 	uint32_t max_header_bytes;
@@ -66,6 +71,12 @@
 /** Adds an empty service that the table owns. */
 struct waxwing_service_route *waxwing_routing_add_service(struct waxwing_routing *routing);
 
+/**
+ * Sets the service_route of all queues, once all queues and services are there. Of services with one
+ * name, the last counts.
+ */
+void waxwing_routing_link_services(struct waxwing_routing *routing);
+
 /**
  * Returns the queue of @host with the longest prefix of @path; null if there is none. @host may
  * include a port. Takes one hash lookup for each distinct length of prefix, however many queues
--- a/test/test_platform_adapter.c
+++ b/test/test_platform_adapter.c
@@ -4,6 +4,7 @@
  */
 #include "executor_http.h"
 #include "job_body.h"
+#include "job_check.h"
 #include "permits_http.h"
 #include "settings_file.h"
 #include "store_entries.h"
@@ -325,6 +326,91 @@
 	waxwing_routing_destroy(routing);
 }
 
+static void read_cold_ms(void *data, const struct waxwing_executor_entry *entry)
+{
+	*(uint32_t *)data = entry->cold_remaining_ms;
+}
+
+/* An entry without a usable ColdRemainingMs is that of a warm executor; it must not be dropped. */
+static void test_executor_entry_cold(void)
+{
+	static const struct {
+		const char *member;
+		uint32_t cold_ms;
+	} rows[] = {
+		{ "", 0 },
+		{ ",\"ColdRemainingMs\":0", 0 },
+		{ ",\"ColdRemainingMs\":2500", 2500 },
+		{ ",\"ColdRemainingMs\":12.7", 12 },
+		{ ",\"ColdRemainingMs\":86400000", 86400000 },
+		{ ",\"ColdRemainingMs\":86400001", 0 },
+		{ ",\"ColdRemainingMs\":-1", 0 },
+		{ ",\"ColdRemainingMs\":1e400", 0 },
+		{ ",\"ColdRemainingMs\":18446744073709551615", 0 },
+		{ ",\"ColdRemainingMs\":\"2500\"", 0 },
+		{ ",\"ColdRemainingMs\":null", 0 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		char *value = format_entry("10.0.0.1:80", "4000", "7", rows[i].member);
+		struct waxwing_store_item item = make_item("servers/i-1", value);
+		uint32_t cold_ms = UINT32_MAX;
+
+		g_assert_true(platform_read_executor(&item, read_cold_ms, &cold_ms));
+		g_assert_cmpuint(cold_ms, ==, rows[i].cold_ms);
+		g_free(value);
+	}
+}
+
+/*
+ * Guards against an owner without configuration that limits no starts: jobs carry the values of
+ * their service. A service without usable values has no limit; it must not be dropped.
+ */
+static void test_job_cold_start(void)
+{
+	static const struct {
+		const char *members;
+		uint32_t start_ms;
+		uint32_t milli_rate;
+	} rows[] = {
+		{ "", 0, 0 },
+		{ ",\"ColdStartS\":2.5,\"ColdPerS\":4", 2500, 4000 },
+		{ ",\"ColdStartS\":3,\"ColdPerS\":0.0001", 3000, 1 },
+		{ ",\"ColdStartS\":3", 3000, 0 },
+		{ ",\"ColdPerS\":4", 0, 0 },
+		{ ",\"ColdStartS\":-1,\"ColdPerS\":4", 0, 0 },
+		{ ",\"ColdStartS\":1e300,\"ColdPerS\":4", 0, 0 },
+		{ ",\"ColdStartS\":3,\"ColdPerS\":-4", 3000, 0 },
+		{ ",\"ColdStartS\":3,\"ColdPerS\":1e10", 3000, 0 },
+		{ ",\"ColdStartS\":\"3\",\"ColdPerS\":null", 0, 0 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		char *value = g_strdup_printf(
+			"{\"Version\":7,\"Routes\":[{\"Name\":\"q\",\"Host\":\"h\",\"Prefix\":"
+			"\"/\",\"Service\":\"s\"}],\"Services\":[{\"Name\":\"s\"%s}]}",
+			rows[i].members);
+		struct waxwing_store_item item = make_item("op/config", value);
+		struct waxwing_routing *routing = platform_read_routing(&item);
+		struct waxwing_error error = WAXWING_ERROR_INIT;
+		Waxwing__Job *job = platform_read_job(waxwing_str("{\"Steps\":[{\"Count\":1}]}"), 1,
+						      routing->queues->pdata[0], &error);
+
+		g_assert_nonnull(job);
+		g_assert_cmpuint(job->cold_start_ms, ==, rows[i].start_ms);
+		g_assert_cmpuint(job->cold_milli_starts_per_s, ==, rows[i].milli_rate);
+		g_assert_null(waxwing_job_invalid_field(job));
+		job->cold_milli_starts_per_s = UINT32_MAX;
+		g_assert_nonnull(waxwing_job_invalid_field(job));
+		job->cold_milli_starts_per_s = 0;
+		job->cold_start_ms = UINT32_MAX;
+		g_assert_nonnull(waxwing_job_invalid_field(job));
+		waxwing__job__free_unpacked(job, NULL);
+		waxwing_routing_destroy(routing);
+		g_free(value);
+	}
+}
+
 static void test_routing_faulty(void)
 {
 	static const char *const values[] = {
@@ -549,6 +635,8 @@
 	g_test_add_func("/platform/executor_entry", test_executor_entry);
 	g_test_add_func("/platform/executor_entry_faulty", test_executor_entry_faulty);
 	g_test_add_func("/platform/executor_entry_odd", test_executor_entry_odd);
+	g_test_add_func("/platform/executor_entry_cold", test_executor_entry_cold);
+	g_test_add_func("/platform/job_cold_start", test_job_cold_start);
 	g_test_add_func("/platform/routing", test_routing);
 	g_test_add_func("/platform/routing_faulty", test_routing_faulty);
 	g_test_add_func("/platform/routing_large", test_routing_large);
