Cells start tasks slowly on executors that are cold

Cause: when the executors of a zone came back together while a queue waited, each got as many first tasks as its capacity held (64 in the test) while it was slow.

Change: a cold executor that may not start a task now is not a candidate in pick_executor(). Its entry says how long it is cold; until the entry of a new incarnation is read, it counts as cold for its service's ColdStartS. Starts of former owners are not known, so a new owner lets one interval pass and then has one run in flight. A gang that cannot be placed gives its allowance back. Cells report less free CPU while executors are cold, and admission does not count on them. Events executor_cold and executor_warm, three metrics.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -34,6 +34,8 @@
 	cell->executors_by_handle = g_hash_table_new(g_int64_hash, g_int64_equal);
 	cell->executors = g_ptr_array_new();
 	cell->kinds = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_kind);
+	cell->cold_services =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, cold_service_free);
 	cell->queues = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_queue);
 	cell->finished = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	cell->verdicts = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
@@ -64,6 +66,7 @@
 	g_hash_table_destroy(cell->executors_by_handle);
 	g_ptr_array_free(cell->executors, TRUE);
 	g_hash_table_destroy(cell->kinds);
+	g_hash_table_destroy(cell->cold_services);
 	g_hash_table_destroy(cell->queues);
 	g_hash_table_destroy(cell->verdicts);
 	g_hash_table_destroy(cell->finished);
@@ -127,16 +130,21 @@
 		.failed = cell->failed,
 		.lapsed = cell->lapsed,
 		.refused = cell->refused,
+		.cold_phases = cell->cold_phases,
+		.cold_starts = cell->cold_starts,
 	};
 	for (; !g_sequence_iter_is_end(iter); iter = g_sequence_iter_next(iter))
 		stats->waiting_tasks += ((struct cell_job *)g_sequence_get(iter))->ready_tasks;
 	for (guint i = 0; i < cell->executors->len; i++) {
-		const struct executor *executor = cell->executors->pdata[i];
+		struct executor *executor = cell->executors->pdata[i];
 
+		stats->cold += executor->cold;
 		if (!executor_usable(executor, now_ms) ||
 		    executor->allocated.cpu_milli > executor->capacity.cpu_milli)
 			continue;
 		stats->usable++;
+		if (!cold_may_start(executor, now_ms))
+			continue;
 		stats->free_milli +=
 			(uint32_t)((executor->capacity.cpu_milli - executor->allocated.cpu_milli) *
 				   executor->speed.value);
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -60,8 +60,8 @@
 	const char *const *labels; /**< null-terminated; include kind and rack */
 	struct waxwing_capacity capacity;
 	int64_t started_ms; /**< start of its current incarnation, Unix time in ms; 0: unknown */
-	uint32_t cold_remaining_ms; /**< how much longer it is slow after its start; 0: it is not */
 	bool draining;
+	uint32_t cold_remaining_ms; /**< how much longer it is slow after its start; 0: it is not */
 };
 
 /** Result of a start order. */
@@ -390,6 +390,9 @@
 	uint64_t failed;
 	uint64_t lapsed;
 	uint64_t refused;
+	uint32_t cold; /**< executors that are slow after their start */
+	uint64_t cold_phases; /**< times that an executor was found to be cold */
+	uint64_t cold_starts; /**< runs on cold executors, including those of former owners */
 };
 
 void waxwing_cell_get_stats(struct waxwing_cell *cell, int64_t now_ms,
--- a/src/cell/cell_admission.c
+++ b/src/cell/cell_admission.c
@@ -119,9 +119,10 @@
 			   int64_t now_ms)
 {
 	for (guint i = 0; i < cell->executors->len; i++) {
-		const struct executor *executor = cell->executors->pdata[i];
+		struct executor *executor = cell->executors->pdata[i];
 
-		if (may_serve(executor, job, now_ms) && usable_cores(executor, task_cores(job)) > 0)
+		if (may_serve(executor, job, now_ms) && cold_may_start(executor, now_ms) &&
+		    usable_cores(executor, task_cores(job)) > 0)
 			return true;
 	}
 	return false;
--- a/src/cell/cell_executor.c
+++ b/src/cell/cell_executor.c
@@ -299,6 +299,7 @@
 		executor->leases_expire_ms = cell->created_ms + cell_lease_expires_after_ms(cell);
 	waxwing_speed_init(&executor->speed, executor->kind->speed.value);
 	waxwing_breaker_init(&executor->breaker);
+	cold_executor_added(cell, executor, now_ms);
 	g_hash_table_insert(cell->executors_by_id, executor->id, executor);
 	g_hash_table_insert(cell->executors_by_handle, &executor->handle, executor);
 	g_ptr_array_add(cell->executors, executor);
@@ -335,6 +336,7 @@
 	g_strfreev(executor->labels);
 	executor->labels = g_strdupv((gchar **)entry->labels);
 	executor->capacity = entry->capacity;
+	cold_entry_read(cell, executor, entry, now_ms);
 	executor->draining = entry->draining;
 	executor->unlisted_since_ms = 0;
 	executor->removed = false;
@@ -427,6 +429,7 @@
 		struct executor *executor = cell->executors->pdata[i];
 
 		waxwing_breaker_tick(&executor->breaker, now_ms);
+		cold_update(cell, executor, now_ms);
 		expire_leases(cell, executor, now_ms);
 		if (executor->unlisted_since_ms &&
 		    now_ms - executor->unlisted_since_ms >= UNLISTED_GRACE_MS)
--- a/src/cell/cell_gang.c
+++ b/src/cell/cell_gang.c
@@ -61,8 +61,10 @@
 							   now_ms));
 			continue;
 		}
-		for (guint i = 0; i < runs->len; i++)
+		for (guint i = runs->len; i-- > 0;) {
+			cold_run_withdrawn(cell, runs->pdata[i]);
 			run_free(cell, runs->pdata[i]);
+		}
 		g_ptr_array_free(runs, TRUE);
 		return NULL;
 	}
--- a/src/cell/cell_hold.c
+++ b/src/cell/cell_hold.c
@@ -174,6 +174,7 @@
 		run->started_ms = now_ms;
 		run->first_seen_ms = now_ms;
 		executor->unknown_runs++;
+		cold_run_added(cell, run, now_ms);
 		if (job)
 			run_adopt(cell, run, job);
 	}
@@ -273,6 +274,7 @@
 	    answer->started_ms != executor->started_ms) {
 		if (executor->started_ms)
 			executor_reset(executor, now_ms);
+		cold_executor_restarted(cell, executor, answer->started_ms, now_ms);
 		executor->started_ms = answer->started_ms;
 	}
 	switch (answer->result) {
--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -584,6 +584,7 @@
 	objective_ms = spec->allowance_ms +
 		       spec->stretch_milli / 1000.0 * longest_chain_ms(job->queue, spec);
 	job->due_ms = arrived_ms + (int64_t)objective_ms;
+	cold_learn_service(cell, spec);
 	g_hash_table_insert(cell->jobs, job, job);
 	return job;
 }
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -164,7 +164,8 @@
 		if (!fits(executor, &needs) || !executor_usable(executor, now_ms) ||
 		    !is_allowed(executor, job, step))
 			continue;
-		if (!executor_lease_suits(cell, executor, job, now_ms))
+		if (!executor_lease_suits(cell, executor, job, now_ms) ||
+		    !cold_may_start(executor, now_ms))
 			continue;
 		if (!executor_may_start(cell, executor, job, now_ms)) {
 			executor->hold_requested |= !executor_accepted_recently(executor, now_ms);
@@ -258,6 +259,7 @@
 	run->start_unconfirmed = true;
 	run->started_ms = now_ms;
 	waxwing_breaker_task_started(&executor->breaker);
+	cold_run_added(cell, run, now_ms);
 	return run;
 }
 
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -5,6 +5,7 @@
 #include "cell.h"
 #include "estimate.h"
 #include "histogram.h"
+#include "warmup.h"
 
 #include <glib.h>
 
@@ -199,6 +200,21 @@
 	GPtrArray *runs; /* struct cell_run */
 	uint32_t unknown_runs; /* listed runs that are assigned to no job of this cell */
 	const struct cell_job *reserved_for; /* only this job may start tasks; null: any job may */
+
+	/* Slow start after a restart, see cell_cold.c. */
+	struct waxwing_warmup warmup;
+	int64_t warmup_started_ms; /* incarnation that warmup is about, as in started_ms */
+	const struct cold_service *cold_service;
+	bool cold; /* warmup said so at the last scan or entry */
+	uint64_t cold_starts; /* in this cold phase */
+};
+
+/* What the executors of a service bear while they are cold, as the jobs of the service tell. */
+struct cold_service {
+	char *name;
+	uint64_t routing_version; /* configuration that the values are from */
+	uint32_t cold_start_ms; /* how long an executor is cold after its start; 0: it is not */
+	uint32_t milli_starts_per_s; /* 0: no limit */
 };
 
 /* State shared by executors of one hardware kind. */
@@ -222,6 +238,8 @@
 	int64_t next_stop_ms; /* when to repeat the stop order */
 	int64_t stop_deadline_ms; /* time by which a stopped run has ended; 0: stop is repeated */
 	int64_t first_seen_ms; /* when an unknown run was first listed; 0: known run */
+	bool cold; /* its executor was cold when it started */
+	bool done; /* it has ended done */
 };
 
 /* A durable job that has ended and whose state can still be queried. */
@@ -246,6 +264,7 @@
 	GHashTable *executors_by_handle; /* handle -> struct executor */
 	GPtrArray *executors; /* struct executor */
 	GHashTable *kinds; /* name -> struct hardware_kind */
+	GHashTable *cold_services; /* name -> struct cold_service */
 	GHashTable *queues; /* name -> struct queue */
 	GHashTable *verdicts; /* job id -> struct cached_verdict */
 	GHashTable *issuers_heard; /* issuer -> int64_t, see waxwing_cell_issuer_heard() */
@@ -273,6 +292,8 @@
 	uint64_t failed;
 	uint64_t lapsed;
 	uint64_t refused;
+	uint64_t cold_phases;
+	uint64_t cold_starts;
 };
 
 /* Returns true if no other node can own the cell at @now_ms. */
@@ -433,6 +454,19 @@
 bool gang_fits_somewhere(const struct waxwing_cell *cell, const Waxwing__Job *spec,
 			 const Waxwing__JobStep *step);
 
+/* cell_cold.c: executors that are slow after their start */
+void cold_service_free(gpointer service);
+void cold_learn_service(struct waxwing_cell *cell, const Waxwing__Job *spec);
+void cold_executor_added(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms);
+void cold_entry_read(struct waxwing_cell *cell, struct executor *executor,
+		     const struct waxwing_executor_entry *entry, int64_t now_ms);
+void cold_executor_restarted(struct waxwing_cell *cell, struct executor *executor,
+			     int64_t started_ms, int64_t now_ms);
+bool cold_may_start(struct executor *executor, int64_t now_ms);
+void cold_run_added(struct waxwing_cell *cell, struct cell_run *run, int64_t now_ms);
+void cold_run_withdrawn(struct waxwing_cell *cell, const struct cell_run *run);
+void cold_update(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms);
+
 /* cell_place.c */
 double run_remaining_ms(const struct cell_run *run, int64_t now_ms);
 struct executor *pick_executor(struct waxwing_cell *cell, const struct cell_job *job, uint32_t step,
--- a/src/cell/cell_run.c
+++ b/src/cell/cell_run.c
@@ -57,6 +57,7 @@
 	if (!run->job && run->first_seen_ms)
 		executor->unknown_runs--;
 	waxwing_breaker_task_ended(&executor->breaker);
+	waxwing_warmup_ended(&executor->warmup, run->done);
 	cell->runs--;
 	g_free(run);
 }
@@ -153,6 +154,7 @@
 	cell->done += end == WAXWING_RUN_DONE;
 	cell->failed += end == WAXWING_RUN_FAILED;
 	cell->lapsed += end == WAXWING_RUN_LAPSED;
+	run->done = end == WAXWING_RUN_DONE;
 	if (job && end == WAXWING_RUN_DONE && !long_running) {
 		/* the speed of a backfill task depends on the other tasks on its executor */
 		if (!job->steps[id.step].spec->fills)
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -324,7 +324,10 @@
 				       "waxwing_cell_done_total{cell=\"%s\"} %llu\n"
 				       "waxwing_cell_failed_total{cell=\"%s\"} %llu\n"
 				       "waxwing_cell_lapsed_total{cell=\"%s\"} %llu\n"
-				       "waxwing_cell_refused_total{cell=\"%s\"} %llu\n",
+				       "waxwing_cell_refused_total{cell=\"%s\"} %llu\n"
+				       "waxwing_cell_cold{cell=\"%s\"} %u\n"
+				       "waxwing_cell_cold_phases_total{cell=\"%s\"} %llu\n"
+				       "waxwing_cell_cold_starts_total{cell=\"%s\"} %llu\n",
 				       cell->name, stats.executors, cell->name, stats.usable,
 				       cell->name, stats.jobs, cell->name, stats.waiting_tasks,
 				       cell->name, stats.runs, cell->name,
@@ -333,7 +336,9 @@
 				       (unsigned long long)stats.done, cell->name,
 				       (unsigned long long)stats.failed, cell->name,
 				       (unsigned long long)stats.lapsed, cell->name,
-				       (unsigned long long)stats.refused);
+				       (unsigned long long)stats.refused, cell->name, stats.cold,
+				       cell->name, (unsigned long long)stats.cold_phases,
+				       cell->name, (unsigned long long)stats.cold_starts);
 	}
 	return g_string_free(text, FALSE);
 }
--- a/src/scheduler/warmup.c
+++ b/src/scheduler/warmup.c
@@ -77,7 +77,6 @@
 
 void waxwing_warmup_withdrawn(struct waxwing_warmup *warmup)
 {
-	warmup->in_flight--;
 	warmup->last_start_ms = warmup->previous_start_ms;
 }
 
--- a/src/scheduler/warmup.h
+++ b/src/scheduler/warmup.h
@@ -63,7 +63,10 @@
 /** Assumes that someone else has started a task, which is not in flight any more. */
 void waxwing_warmup_assume_start(struct waxwing_warmup *warmup, int64_t now_ms);
 
-/** Reverts the last call of waxwing_warmup_started(): the task was not sent. */
+/**
+ * The task of the last call of waxwing_warmup_started() was not sent, and does not count against the
+ * rate. Its end is still to be reported.
+ */
 void waxwing_warmup_withdrawn(struct waxwing_warmup *warmup);
 
 /** Records the end of a task. @done: it ran to its end, so the upstream can bear one more. */
--- a/test/test_cell.c
+++ b/test/test_cell.c
@@ -744,8 +744,9 @@
 static void test_unlisted_executor(void)
 {
 	static const char *const labels[] = { "kind", "rack", NULL };
-	struct waxwing_executor_entry entry = { "u",	"10.0.0.2:80", "service", "zone", "kind",
-						"rack", labels,	       { 0 },	  0,	  false };
+	struct waxwing_executor_entry entry = { "u",	"10.0.0.2:80", "service", "zone",
+						"kind", "rack",	       labels,	  { 0 },
+						0,	false,	       0 };
 	struct waxwing_running_run running = { .run_id = { .job = 8, .run = 1 } };
 	struct fixture fixture;
 
--- a/test/test_warmup.c
+++ b/test/test_warmup.c
@@ -71,6 +71,7 @@
 			if (waxwing_warmup_may_start(&warmup, now_ms + 1)) {
 				waxwing_warmup_started(&warmup, now_ms + 1);
 				waxwing_warmup_withdrawn(&warmup);
+				waxwing_warmup_ended(&warmup, false);
 			}
 			waxwing_warmup_ended(&warmup, true);
 		}
