Cold runs teach no warm speed, but a factor of their kind

Cause: runs on a cold executor counted for its speed and for that of its hardware kind, so that it was used as a slow one after it had become warm.

Change: they teach only how much longer tasks take on cold executors of the kind, as a running median of cold over warm. Placement, the expected end of cold runs and the reported capacity use the warm speed divided by it.

/cell_cold/cold_runs_teach_no_speed failed with cold runs taught as before (free CPU 132296 instead of 256000), and without the factor in speed_for() (0 of 10 tasks on the warm executor).

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -147,7 +147,7 @@
 			continue;
 		stats->free_milli +=
 			(uint32_t)((executor->capacity.cpu_milli - executor->allocated.cpu_milli) *
-				   executor->speed.value);
+				   cold_speed(executor, executor->cold));
 	}
 }
 
--- a/src/cell/cell_cold.c
+++ b/src/cell/cell_cold.c
@@ -3,6 +3,19 @@
 #define LOG_COMPONENT "cell"
 #include "event_log.h"
 
+#include <math.h>
+
+/*
+ * Each cold run moves the logarithm of its kind's factor by this towards what it measured, whatever
+ * the distance. This converges to the median: a few very long runs do not move it far. A factor of 5
+ * takes 16 runs.
+ */
+#define FACTOR_STEP 0.1
+/* A higher factor says that the runs are stuck, not slow. */
+#define MAX_FACTOR 50.0
+/* Before a queue has this many measured runs, its expected run times are only declared ones. */
+#define MIN_WARM_SAMPLES 5.0
+
 /*
  * Executors that are slow for a while after their start. Their entries tell how much longer. The
  * entry of a new incarnation may be read before or after the executor first answers for it; until
@@ -139,3 +152,26 @@
 	run->executor->cold_starts -= run->cold;
 	cell->cold_starts -= run->cold;
 }
+
+/* Compares a cold run with the run time that its executor is expected to need when it is warm. */
+void cold_learn_factor(const struct cell_run *run, int64_t now_ms)
+{
+	const struct waxwing_work_estimate *ratio = &run->job->queue->ratio;
+	struct hardware_kind *kind = run->executor->kind;
+	double ran_ms = (double)MAX(now_ms - run->started_ms, 1);
+	double warm_ms = step_work_ms(run->job, run->job->steps[run->id.step].spec) /
+			 run->executor->speed.value;
+
+	if (ratio->samples < MIN_WARM_SAMPLES)
+		return;
+	kind->cold_log_factor +=
+		log(ran_ms / warm_ms) > kind->cold_log_factor ? FACTOR_STEP : -FACTOR_STEP;
+	kind->cold_log_factor = CLAMP(kind->cold_log_factor, 0, log(MAX_FACTOR));
+}
+
+/* Returns the executor's speed if it is, or was, @cold. */
+double cold_speed(const struct executor *executor, bool cold)
+{
+	return cold ? executor->speed.value / exp(executor->kind->cold_log_factor) :
+		      executor->speed.value;
+}
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -122,7 +122,7 @@
 			const struct cell_step *step)
 {
 	const char *data = step->spec->affinity;
-	double speed = executor->speed.value;
+	double speed = cold_speed(executor, executor->cold);
 
 	if (data && data[0] && strcmp(data, executor->rack) != 0)
 		speed /= cell->options.remote_data_factor;
@@ -193,7 +193,7 @@
 double run_remaining_ms(const struct cell_run *run, int64_t now_ms)
 {
 	double total = step_work_ms(run->job, run->job->steps[run->id.step].spec) /
-		       run->executor->speed.value;
+		       cold_speed(run->executor, run->cold);
 
 	return MAX(total - (double)(now_ms - run->started_ms), total / 8);
 }
@@ -492,7 +492,8 @@
 
 		if (executor_usable(executor, now_ms) &&
 		    (!service || strcmp(executor->service, service) == 0))
-			cores += executor->capacity.cpu_milli / 1000.0 * executor->speed.value;
+			cores += executor->capacity.cpu_milli / 1000.0 *
+				 cold_speed(executor, executor->cold);
 	}
 	return cores;
 }
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -221,6 +221,7 @@
 struct hardware_kind {
 	char *name;
 	struct waxwing_speed_estimate speed; /* initial speed of a new executor */
+	double cold_log_factor; /* logarithm of how much longer tasks take while it is cold */
 };
 
 struct cell_run {
@@ -462,6 +463,8 @@
 		     const struct waxwing_executor_entry *entry, int64_t now_ms);
 void cold_executor_restarted(struct waxwing_cell *cell, struct executor *executor,
 			     int64_t started_ms, int64_t now_ms);
+void cold_learn_factor(const struct cell_run *run, int64_t now_ms);
+double cold_speed(const struct executor *executor, bool cold);
 bool cold_may_start(struct executor *executor, int64_t now_ms);
 void cold_run_added(struct waxwing_cell *cell, struct cell_run *run, int64_t now_ms);
 void cold_run_withdrawn(struct waxwing_cell *cell, const struct cell_run *run);
--- a/src/cell/cell_run.c
+++ b/src/cell/cell_run.c
@@ -157,7 +157,9 @@
 	run->done = end == WAXWING_RUN_DONE;
 	if (job && end == WAXWING_RUN_DONE && !long_running) {
 		/* the speed of a backfill task depends on the other tasks on its executor */
-		if (!job->steps[id.step].spec->fills)
+		if (!job->steps[id.step].spec->fills && run->cold)
+			cold_learn_factor(run, now_ms);
+		else if (!job->steps[id.step].spec->fills)
 			learn_run_time(run, now_ms);
 		waxwing_breaker_record_success(&executor->breaker, now_ms);
 	}
--- a/test/test_cell_cold.c
+++ b/test/test_cell_cold.c
@@ -285,6 +285,55 @@
 	tear_down(&zone.fixture);
 }
 
+/* Runs @rounds single tasks, each for @run_ms on the executor that the cell picks. */
+static void run_tasks(struct zone *zone, uint64_t first_id, uint32_t rounds, int64_t run_ms)
+{
+	for (uint32_t i = 0; i < rounds; i++) {
+		offer_tasks(zone, first_id + i, 1, 0);
+		advance(&zone->fixture, 5);
+		answer_started(&zone->fixture, zone->answered);
+		zone->fixture.now_ms += run_ms;
+		end_all(zone, WAXWING_RUN_DONE);
+	}
+}
+
+/* Sets how much longer all executors are cold, in their present incarnation. */
+static void write_entries(struct zone *zone, uint32_t cold_ms)
+{
+	for (uint32_t i = 0; i < EXECUTORS; i++)
+		write_entry(zone, i, FIRST_STARTED, cold_ms);
+}
+
+/*
+ * Guards against executors that count as slow after they have become warm, and against tasks that
+ * go to a cold executor beside a warm one. The speeds are read from the free CPU that the cell
+ * reports, and do not change with cold runs of 5 times the length.
+ */
+static void test_cold_runs_teach_no_speed(void)
+{
+	struct zone zone = { 0 };
+	struct waxwing_cell_stats before;
+	struct waxwing_cell_stats after;
+	guint from;
+
+	set_up(&zone.fixture, false);
+	add_executors(&zone, 0);
+	run_tasks(&zone, 100, 30, 100);
+	waxwing_cell_get_stats(zone.fixture.cell, zone.fixture.now_ms, &before);
+	write_entries(&zone, 600000);
+	run_tasks(&zone, 200, 30, 500);
+	write_entries(&zone, 0);
+	waxwing_cell_get_stats(zone.fixture.cell, zone.fixture.now_ms, &after);
+	g_assert_cmpuint(after.cold_starts, ==, 30);
+	g_assert_cmpuint(after.free_milli, ==, before.free_milli);
+	from = zone.fixture.recorder.starts->len;
+	for (uint32_t i = 0; i < EXECUTORS - 1; i++)
+		write_entry(&zone, i, FIRST_STARTED, 600000);
+	run_tasks(&zone, 300, 10, 100);
+	g_assert_cmpuint(starts_on(&zone, EXECUTORS - 1, from), ==, 10);
+	tear_down(&zone.fixture);
+}
+
 /* A service that states a rate limits nothing while its executors' entries say that they are warm. */
 static void test_nothing_changes(void)
 {
@@ -314,6 +363,7 @@
 	g_test_add_data_func("/cell_cold/entry_before_answer", GINT_TO_POINTER(1),
 			     test_new_incarnation);
 	g_test_add_data_func("/cell_cold/entry_after_answer", NULL, test_new_incarnation);
+	g_test_add_func("/cell_cold/cold_runs_teach_no_speed", test_cold_runs_teach_no_speed);
 	g_test_add_func("/cell_cold/nothing_changes", test_nothing_changes);
 	return g_test_run();
 }
