Read Bounds.ColdOverage and Bounds.ColdSlack, and check them

The platform's limit on starts on a cold executor is its rate times ColdOverage times the span, plus ColdSlack. The limiter lets out at most the rate times the span, plus one, so it keeps within the bounds if both are at least 1.

The tests do not compile without the new fields. replace_setting() in the test now adds fields that the valid settings lack; its other callers replace fields as before.

--- a/test/test_platform_adapter.c
+++ b/test/test_platform_adapter.c
@@ -47,6 +47,38 @@
 	platform_settings_destroy(settings);
 }
 
+/*
+ * The limiter of cold starts keeps to the rate itself. Guards against bounds below the rate that go
+ * unnoticed, and against a node that does not start because of them.
+ */
+static void test_settings_cold(void)
+{
+	static const struct {
+		const char *lines;
+		double overage;
+		double slack;
+		bool met;
+	} rows[] = {
+		{ "", 1.5, 5, true },
+		{ "Bounds.ColdOverage=1\nBounds.ColdSlack=1\n", 1, 1, true },
+		{ "Bounds.ColdOverage=0.9\n", 0.9, 5, false },
+		{ "Bounds.ColdSlack=0\n", 1.5, 0, false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct waxwing_error error = WAXWING_ERROR_INIT;
+		char *text = g_strconcat(valid_settings, rows[i].lines, NULL);
+		struct platform_settings *settings = platform_settings_parse(text, &error);
+
+		g_assert_nonnull(settings);
+		g_assert_cmpfloat(settings->cold_overage, ==, rows[i].overage);
+		g_assert_cmpfloat(settings->cold_slack, ==, rows[i].slack);
+		g_assert_true(platform_settings_cold_bounds_met(settings) == rows[i].met);
+		platform_settings_destroy(settings);
+		g_free(text);
+	}
+}
+
 /* The permit service is optional: an absent or empty field is valid, an invalid address is not. */
 static void test_settings_permits(void)
 {
@@ -75,19 +107,18 @@
 	}
 }
 
-/* Returns the valid settings with one field replaced; an empty value removes the field. */
+/* Returns the valid settings with one field replaced or added; an empty value removes the field. */
 static char *replace_setting(const char *field, const char *value)
 {
 	char **lines = g_strsplit(valid_settings, "\n", -1);
 	GString *text = g_string_new(NULL);
 	char *line_start = g_strconcat(field, "=", NULL);
 
-	for (int i = 0; lines[i]; i++) {
+	for (int i = 0; lines[i]; i++)
 		if (!g_str_has_prefix(lines[i], line_start))
 			g_string_append_printf(text, "%s\n", lines[i]);
-		else if (*value)
-			g_string_append_printf(text, "%s=%s\n", field, value);
-	}
+	if (*value)
+		g_string_append_printf(text, "%s=%s\n", field, value);
 	g_free(line_start);
 	g_strfreev(lines);
 	return g_string_free(text, FALSE);
@@ -111,6 +142,8 @@
 		{ "Bounds.HoldMaxMs", "soon", WAXWING_ERROR_TYPE },
 		{ "Bounds.GraceS", "-1", WAXWING_ERROR_TYPE },
 		{ "Limits.CpuShare", "nan", WAXWING_ERROR_TYPE },
+		{ "Bounds.ColdOverage", "-1", WAXWING_ERROR_TYPE },
+		{ "Bounds.ColdSlack", "1e300", WAXWING_ERROR_TYPE },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
@@ -630,6 +663,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/platform/settings", test_settings);
+	g_test_add_func("/platform/settings_cold", test_settings_cold);
 	g_test_add_func("/platform/settings_faulty", test_settings_faulty);
 	g_test_add_func("/platform/settings_syntax", test_settings_syntax);
 	g_test_add_func("/platform/executor_entry", test_executor_entry);
