Tests: the newest configuration's rate counts; fuzzed cold fields

newest_rate_counts fails without the comparison of versions in cold_learn_service() (201 starts instead of 4). The fuzzer's valid inputs have the new fields of entries, services and settings.

--- a/test/test_cell_cold.c
+++ b/test/test_cell_cold.c
@@ -47,12 +47,16 @@
 	}
 }
 
+/* Version of the configuration of jobs that are offered next. */
+static uint64_t next_routing_version;
+
 static void offer_tasks(struct zone *zone, uint64_t id, uint32_t count, uint32_t milli_rate)
 {
 	Waxwing__JobOffer *offer = make_offer(id, count, TASK_CPU, 100, false, false);
 
 	offer->job->has_cold_start_ms = offer->job->has_cold_milli_starts_per_s = true;
 	offer->job->cold_start_ms = 4000;
+	offer->job->routing_version = next_routing_version;
 	offer->job->cold_milli_starts_per_s = milli_rate;
 	offer->job->allowance_ms = 60000;
 	offer->job->patience_ms = 60000;
@@ -216,6 +220,30 @@
 	tear_down(&zone.fixture);
 }
 
+/*
+ * Issuers have different configurations for a while, and those of the previous release do not send
+ * the fields. Guards against a rate that their jobs set back or lift.
+ */
+static void test_newest_rate_counts(void)
+{
+	struct zone zone = { 0 };
+
+	set_up(&zone.fixture, false);
+	add_executors(&zone, 10000);
+	next_routing_version = 8;
+	offer_tasks(&zone, 1, 100, 1000);
+	next_routing_version = 7;
+	offer_tasks(&zone, 2, 100, 500000);
+	next_routing_version = 0;
+	offer(&zone.fixture, 3, 1, TASK_CPU, 100, false);
+	for (int i = 0; i < 19; i++) {
+		advance(&zone.fixture, 50);
+		end_all(&zone, WAXWING_RUN_DONE);
+	}
+	g_assert_cmpuint(zone.fixture.recorder.starts->len, ==, EXECUTORS);
+	tear_down(&zone.fixture);
+}
+
 /*
  * A new owner does not know what its predecessor started, so it first lets one interval pass, and
  * then has one run in flight.
@@ -358,6 +386,7 @@
 	g_test_add_func("/cell_cold/warm_not_affected", test_warm_not_affected);
 	g_test_add_func("/cell_cold/rate", test_rate);
 	g_test_add_func("/cell_cold/gang_attempts", test_gang_attempts);
+	g_test_add_func("/cell_cold/newest_rate_counts", test_newest_rate_counts);
 	g_test_add_func("/cell_cold/takeover", test_takeover);
 	g_test_add_func("/cell_cold/becomes_warm", test_becomes_warm);
 	g_test_add_data_func("/cell_cold/entry_before_answer", GINT_TO_POINTER(1),
--- a/test/test_fuzz.c
+++ b/test/test_fuzz.c
@@ -125,6 +125,7 @@
 	fuzz("Node=front-1\nIp=10.1.0.13\nZone=a\nZones.a=r\nZones.b=r\nListen.Front=10.1.0.13:81\n"
 	     "Listen.Ready=10.1.0.13:82\nInternalPorts=7720,7735\nLimits.CpuShare=0.25\n"
 	     "Bounds.HoldMaxMs=1000\nBounds.StopMs=50\nBounds.GraceS=6\nBounds.FarFactor=1.5\n"
+	     "Bounds.ColdOverage=1.5\nBounds.ColdSlack=5\n"
 	     "platform.Address=10.2.1.7:8169\nplatform.TtlMinMs=1000\nAdvice=10.2.1.9:8169\n",
 	     decode_settings);
 }
@@ -148,7 +149,7 @@
 {
 	fuzz("{\"Service\":\"s\",\"Address\":\"10.1.0.9:80\",\"Zone\":\"a\",\"State\":\"ready\","
 	     "\"Capacity\":{\"Cpu\":32000,\"MemMb\":65536,\"Gpu\":0},\"Labels\":[\"k\",\"r1\"],"
-	     "\"born\":1774363009050,\"Sequence\":4}",
+	     "\"born\":1774363009050,\"Sequence\":4,\"ColdRemainingMs\":2500}",
 	     decode_executor);
 }
 
@@ -166,7 +167,8 @@
 {
 	fuzz("{\"Version\":7,\"Routes\":[{\"Name\":\"q\",\"Host\":\"h.example\",\"Prefix\":\"/p/\","
 	     "\"Priority\":2,\"Service\":\"s\",\"MaxAttempts\":3,\"Stretch\":1.6,"
-	     "\"Advice\":{\"DecisionMs\":4}}],\"Services\":[{\"Name\":\"s\"}],"
+	     "\"Advice\":{\"DecisionMs\":4}}],\"Services\":[{\"Name\":\"s\","
+	     "\"ColdStartS\":2.5,\"ColdPerS\":4}],"
 	     "\"Limits\":{\"MaxBodyBytes\":262144}}",
 	     decode_routing);
 }
