--- a/src/cell/cell_hold.c
+++ b/src/cell/cell_hold.c
@@ -324,6 +324,7 @@
 		run->started_ms = now_ms;
 		run->first_seen_ms = now_ms;
 		executor->unknown_runs++;
+		cold_run_added(cell, run, now_ms);
 		if (job)
 			run_adopt(cell, run, job);
 	}
@@ -496,7 +497,7 @@
  * Resets what is known of the executor if another incarnation has answered. Returns false if the
  * answer is of an earlier incarnation, which was overtaken by one of the present.
  */
-static bool check_incarnation(struct executor *executor, int64_t now_ms,
+static bool check_incarnation(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms,
 			      const struct hold_call *call,
 			      const struct waxwing_hold_answer *answer)
 {
@@ -507,6 +508,7 @@
 		return false;
 	if (executor->started_ms)
 		executor_reset(executor, now_ms);
+	cold_executor_restarted(cell, executor, answer->started_ms, now_ms);
 	executor->started_ms = answer->started_ms;
 	return true;
 }
@@ -534,7 +536,7 @@
 	}
 	switch (answer->result) {
 	case WAXWING_HOLD_ANSWERED:
-		if (check_incarnation(executor, now_ms, call, answer))
+		if (check_incarnation(cell, executor, now_ms, call, answer))
 			handle_answer(cell, executor, now_ms, call, answer);
 		break;
 	case WAXWING_HOLD_FENCED:
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -122,7 +122,7 @@
 			const struct cell_step *step)
 {
 	const char *data = step->spec->affinity;
-	double speed = executor->speed.value;
+	double speed = cold_speed(executor, executor->cold);
 
 	if (data && data[0] && strcmp(data, executor->rack) != 0)
 		speed /= cell->options.remote_data_factor;
@@ -164,7 +164,8 @@
 		if (!fits(executor, &needs) || !executor_usable(executor, now_ms) ||
 		    !is_allowed(executor, job, step))
 			continue;
-		if (!executor_lease_suits(cell, executor, job, now_ms))
+		if (!executor_lease_suits(cell, executor, job, now_ms) ||
+		    !cold_may_start(executor, now_ms))
 			continue;
 		if (!executor_may_start(cell, executor, job, now_ms)) {
 			executor->hold_requested |= !executor_accepted_recently(executor, now_ms);
@@ -192,7 +193,7 @@
 double run_remaining_ms(const struct cell_run *run, int64_t now_ms)
 {
 	double total = step_work_ms(run->job, run->job->steps[run->id.step].spec) /
-		       run->executor->speed.value;
+		       cold_speed(run->executor, run->cold);
 
 	return MAX(total - (double)(now_ms - run->started_ms), total / 8);
 }
@@ -259,6 +260,7 @@
 	run->started_ms = now_ms;
 	run->start_sent_ms = now_ms;
 	waxwing_breaker_task_started(&executor->breaker);
+	cold_run_added(cell, run, now_ms);
 	return run;
 }
 
@@ -491,7 +493,8 @@
 
 		if (executor_usable(executor, now_ms) &&
 		    (!service || strcmp(executor->service, service) == 0))
-			cores += executor->capacity.cpu_milli / 1000.0 * executor->speed.value;
+			cores += executor->capacity.cpu_milli / 1000.0 *
+				 cold_speed(executor, executor->cold);
 	}
 	return cores;
 }
