cell: tasks that name a rack wait for a place there if that pays off

Cause: a task whose rack was busy for a few more milliseconds ran elsewhere, for FarFactor times as long, unless that made it late. Change: steps with Affinity, and SameRack steps whose rack is chosen, use near_wait instead of should_wait(). Executors are indexed by rack. Far runs are reduced to their near duration before run times and speeds are learned from them. Steps without a rack are placed as before.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -33,6 +33,7 @@
 	cell->executors_by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	cell->executors_by_handle = g_hash_table_new(g_int64_hash, g_int64_equal);
 	cell->executors = g_ptr_array_new();
+	near_init(cell);
 	cell->kinds = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_kind);
 	cell->queues = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_queue);
 	cell->finished = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
@@ -63,6 +64,7 @@
 	g_hash_table_destroy(cell->executors_by_id);
 	g_hash_table_destroy(cell->executors_by_handle);
 	g_ptr_array_free(cell->executors, TRUE);
+	near_destroy(cell);
 	g_hash_table_destroy(cell->kinds);
 	g_hash_table_destroy(cell->queues);
 	g_hash_table_destroy(cell->verdicts);
@@ -127,6 +129,13 @@
 		.failed = cell->failed,
 		.lapsed = cell->lapsed,
 		.refused = cell->refused,
+		.near_waits = cell->near_waits,
+		.near_waits_near = cell->near_waits_near,
+		.near_waits_far = cell->near_waits_far,
+		.near_waited_ms = cell->near_waited_ms,
+		.near_saved_ms = cell->near_saved_ms,
+		.near_lost_ms = cell->near_lost_ms,
+		.near_visits = cell->near_visits,
 	};
 	for (; !g_sequence_iter_is_end(iter); iter = g_sequence_iter_next(iter))
 		stats->waiting_tasks += ((struct cell_job *)g_sequence_get(iter))->ready_tasks;
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -14,6 +14,7 @@
 #define WAXWING_CELL_H
 
 #include "generated/node.pb-c.h"
+#include "near_wait.h"
 #include "str.h"
 #include "waxwingswitch/error.h"
 
@@ -225,6 +226,7 @@
 	uint32_t stop_ms; /**< longest time that an executor takes to stop a run */
 	/** Run time of a task on another rack than its data, divided by that on the same rack. */
 	double remote_data_factor;
+	enum waxwing_near_wait_policy near_wait; /**< which tasks wait for a place on their rack */
 	bool took_over; /**< executors may still have runs that a former owner started */
 	/**
 	 * Executors that are not known yet may have runs of a former owner: tasks of the former
@@ -389,6 +391,13 @@
 	uint64_t failed;
 	uint64_t lapsed;
 	uint64_t refused;
+	uint64_t near_waits; /**< waits for a place on a task's rack that began */
+	uint64_t near_waits_near; /**< of these, how many ended on the rack */
+	uint64_t near_waits_far; /**< how many ended on another rack */
+	uint64_t near_waited_ms; /**< total of the waits that ended with a start */
+	uint64_t near_saved_ms; /**< by how much tasks are expected to end sooner after a wait */
+	uint64_t near_lost_ms; /**< by how much they are expected to end later */
+	uint64_t near_visits; /**< executors that decisions about waits have examined */
 };
 
 void waxwing_cell_get_stats(struct waxwing_cell *cell, int64_t now_ms,
--- a/src/cell/cell_executor.c
+++ b/src/cell/cell_executor.c
@@ -336,6 +336,7 @@
 	executor->labels = g_strdupv((gchar **)entry->labels);
 	executor->capacity = entry->capacity;
 	executor->draining = entry->draining;
+	near_index_executor(cell, executor);
 	executor->unlisted_since_ms = 0;
 	executor->removed = false;
 	if (entry->draining && !was_draining)
@@ -407,6 +408,7 @@
 	g_hash_table_remove(cell->executors_by_id, executor->id);
 	g_hash_table_remove(cell->executors_by_handle, &executor->handle);
 	g_ptr_array_remove_fast(cell->executors, executor);
+	near_unindex_executor(cell, executor);
 	executor_free(executor);
 }
 
--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -245,6 +245,7 @@
 		g_array_free(task->failed_runs, TRUE);
 	g_free(task->last_failed_on);
 	g_free(task->checkpoint);
+	g_free(task->near_wait);
 }
 
 void job_free(struct waxwing_cell *cell, struct cell_job *job)
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -30,7 +30,7 @@
  */
 #define MAX_PENDING_ENDS_DURABLE 250
 
-static bool fits(const struct executor *executor, const struct waxwing_capacity *needs)
+bool executor_fits(const struct executor *executor, const struct waxwing_capacity *needs)
 {
 	return executor->allocated.cpu_milli + needs->cpu_milli <= executor->capacity.cpu_milli &&
 	       executor->allocated.mem_mb + needs->mem_mb <= executor->capacity.mem_mb &&
@@ -42,7 +42,7 @@
 {
 	static const struct waxwing_capacity nothing;
 
-	return !fits(executor, &nothing);
+	return !executor_fits(executor, &nothing);
 }
 
 static bool meets_requirements(const struct executor *executor, const Waxwing__JobStep *step)
@@ -99,7 +99,7 @@
 	return count;
 }
 
-static bool is_allowed(const struct executor *executor, const struct cell_job *job, uint32_t step)
+bool executor_allowed(const struct executor *executor, const struct cell_job *job, uint32_t step)
 {
 	const struct cell_step *cell_step = &job->steps[step];
 	const Waxwing__JobStep *spec = cell_step->spec;
@@ -118,17 +118,12 @@
 }
 
 /* Returns the work that a task of the step does per millisecond on the executor. */
-static double speed_for(const struct waxwing_cell *cell, const struct executor *executor,
-			const struct cell_step *step)
+double speed_for(const struct waxwing_cell *cell, const struct executor *executor,
+		 const struct cell_job *job, uint32_t step)
 {
-	const char *data = step->spec->affinity;
-	double speed = executor->speed.value;
-
-	if (data && data[0] && strcmp(data, executor->rack) != 0)
-		speed /= cell->options.remote_data_factor;
-	if (step->rack && strcmp(step->rack, executor->rack) != 0)
-		speed /= cell->options.remote_data_factor;
-	if (step->spec->target_ms && backfill_cpu_milli(executor))
+	double speed = executor->speed.value / step_far_factor(cell, executor, job, step);
+
+	if (job->steps[step].spec->target_ms && backfill_cpu_milli(executor))
 		speed *= PREEMPTION_SPEED_FACTOR;
 	return speed;
 }
@@ -161,8 +156,8 @@
 		double executor_speed;
 		bool failed;
 
-		if (!fits(executor, &needs) || !executor_usable(executor, now_ms) ||
-		    !is_allowed(executor, job, step))
+		if (!executor_fits(executor, &needs) || !executor_usable(executor, now_ms) ||
+		    !executor_allowed(executor, job, step))
 			continue;
 		if (!executor_lease_suits(cell, executor, job, now_ms))
 			continue;
@@ -173,7 +168,7 @@
 		failed = task->last_failed_on && strcmp(task->last_failed_on, executor->id) == 0;
 		if (failed && now_ms < task->avoid_until_ms)
 			continue;
-		executor_speed = speed_for(cell, executor, &job->steps[step]);
+		executor_speed = speed_for(cell, executor, job, step);
 		if (failed)
 			executor_speed *= FAILED_SPEED_FACTOR;
 		if (best && executor_speed < best_speed * (1 - SPEED_TOLERANCE))
@@ -184,7 +179,7 @@
 		best = executor;
 		best_speed = executor_speed;
 	}
-	*speed = best ? speed_for(cell, best, &job->steps[step]) : 0;
+	*speed = best ? speed_for(cell, best, job, step) : 0;
 	return best;
 }
 
@@ -192,7 +187,7 @@
 double run_remaining_ms(const struct cell_run *run, int64_t now_ms)
 {
 	double total = step_work_ms(run->job, run->job->steps[run->id.step].spec) /
-		       run->executor->speed.value;
+		       run->executor->speed.value * run->far_factor;
 
 	return MAX(total - (double)(now_ms - run->started_ms), total / 8);
 }
@@ -229,12 +224,12 @@
 		return false;
 	for (guint i = 0; i < cell->executors->len; i++) {
 		struct executor *executor = cell->executors->pdata[i];
-		double executor_speed = speed_for(cell, executor, &job->steps[step]);
+		double executor_speed = speed_for(cell, executor, job, step);
 		double end_ms;
 
 		if (executor_speed < speed * MIN_WAIT_SPEEDUP || !executor->runs->len ||
 		    g_hash_table_contains(awaited, executor) ||
-		    !executor_usable(executor, now_ms) || !is_allowed(executor, job, step))
+		    !executor_usable(executor, now_ms) || !executor_allowed(executor, job, step))
 			continue;
 		end_ms = first_end_ms(executor, now_ms) + work / executor_speed;
 		if (end_ms < work / speed && end_ms <= left_ms) {
@@ -254,6 +249,7 @@
 	struct cell_run *run = run_create(cell, executor, &id, &needs);
 
 	run->job = job;
+	run->far_factor = step_far_factor(cell, executor, job, step);
 	run->state = RUN_STARTING;
 	run->start_unconfirmed = true;
 	run->started_ms = now_ms;
@@ -352,7 +348,7 @@
 		uint32_t tasks;
 
 		if (!executor_usable(executor, now_ms) || executor->reserved_for ||
-		    !is_allowed(executor, job, step))
+		    !executor_allowed(executor, job, step))
 			continue;
 		for (guint k = 0; k < executor->runs->len; k++) {
 			const struct cell_run *run = executor->runs->pdata[k];
@@ -374,6 +370,16 @@
 	return best_tasks;
 }
 
+/* Returns the number of the step's ready tasks from @first on. */
+static uint32_t count_ready(const struct cell_step *step, uint32_t first)
+{
+	uint32_t count = 0;
+
+	for (uint32_t index = first; index < step->spec->count; index++)
+		count += step->tasks[index].state == TASK_READY;
+	return count;
+}
+
 /* Starts as many tasks of the step as possible. */
 static void place_step(struct waxwing_cell *cell, struct cell_job *job, uint32_t step,
 		       int64_t now_ms, GHashTable *awaited)
@@ -398,11 +404,15 @@
 		if (!executor && cell_step->spec->long_running)
 			reserve_executor(cell, job, step, now_ms);
 		if (!executor) {
+			near_add_ahead(cell, cell_step, count_ready(cell_step, index));
 			permits_request(cell, job, step, now_ms);
 			return;
 		}
-		if (should_wait(cell, job, step, now_ms, speed, awaited))
+		if (step_wanted_rack(cell_step) ?
+			    near_should_wait(cell, job, step, index, executor, speed, now_ms) :
+			    should_wait(cell, job, step, now_ms, speed, awaited))
 			continue;
+		near_wait_ended(cell, job, step, index, executor, now_ms);
 		run_send_start(cell,
 			       run_allocate(cell, job, step, index,
 					    cell_step->tasks[index].last_run + 1, executor, now_ms),
@@ -465,6 +475,7 @@
 		return;
 	for (guint i = 0; i < cell->executors->len; i++)
 		((struct executor *)cell->executors->pdata[i])->reserved_for = NULL;
+	cell->placement++;
 	awaited = g_hash_table_new(NULL, NULL);
 	all_known = all_former_runs_known(cell);
 	while (!g_sequence_iter_is_end(iter)) {
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -5,6 +5,7 @@
 #include "cell.h"
 #include "estimate.h"
 #include "histogram.h"
+#include "near_wait.h"
 
 #include <glib.h>
 
@@ -55,6 +56,19 @@
 	char *checkpoint; /* last one that a run saved; null: none */
 	char *last_failed_on; /* id of the executor where a run failed last; null: none */
 	int64_t avoid_until_ms; /* until then, the task does not start on that executor */
+
+	/* Waits for a place on the task's rack, see cell_near.c. */
+	struct near_wait *near_wait; /* null: does not wait */
+	int64_t near_waited_ms; /* total of the waits that have ended */
+};
+
+/* A task's wait for a place on its rack: the inputs of the first decision. */
+struct near_wait {
+	int64_t since_ms;
+	double near_ms;
+	double far_ms;
+	double near_free_ms;
+	enum waxwing_near_wait_reason reason;
 };
 
 struct cell_step {
@@ -142,6 +156,8 @@
 struct queue {
 	char *name;
 	struct waxwing_work_estimate ratio; /* of run time to estimate, in percent */
+	struct waxwing_near_ratio near_ratio; /* durations on a task's rack and elsewhere */
+	uint32_t near_candidates; /* tasks that could have waited before enough was measured */
 	uint32_t waiting_jobs; /* jobs that have not started a task */
 	/* recent numbers of jobs, decayed; see cell_admission.c */
 	double offered;
@@ -199,6 +215,28 @@
 	GPtrArray *runs; /* struct cell_run */
 	uint32_t unknown_runs; /* listed runs that are assigned to no job of this cell */
 	const struct cell_job *reserved_for; /* only this job may start tasks; null: any job may */
+
+	/* Indexes, see cell_near.c. */
+	struct rack *rack_entry;
+	struct service_load *load;
+	uint32_t load_milli; /* its part of load->capacity_milli */
+};
+
+/* The executors of one rack. */
+struct rack {
+	char *name;
+	GPtrArray *executors; /* struct executor */
+	uint64_t placement; /* call of cell_place() that ahead_milli belongs to */
+	uint64_t ahead_milli; /* CPU of tasks that want the rack and are served earlier */
+	double offered_milli; /* mean CPU in use if all tasks that want the rack ran there */
+	int64_t offered_ms; /* when offered_milli was updated */
+};
+
+/* CPU of all executors of one service, in thousandths of a core. */
+struct service_load {
+	char *name;
+	uint64_t capacity_milli; /* of executors that are not draining */
+	uint64_t allocated_milli;
 };
 
 /* State shared by executors of one hardware kind. */
@@ -222,6 +260,7 @@
 	int64_t next_stop_ms; /* when to repeat the stop order */
 	int64_t stop_deadline_ms; /* time by which a stopped run has ended; 0: stop is repeated */
 	int64_t first_seen_ms; /* when an unknown run was first listed; 0: known run */
+	double far_factor; /* expected duration, relative to that on the rack the task wants */
 };
 
 /* A durable job that has ended and whose state can still be queried. */
@@ -246,6 +285,9 @@
 	GHashTable *executors_by_handle; /* handle -> struct executor */
 	GPtrArray *executors; /* struct executor */
 	GHashTable *kinds; /* name -> struct hardware_kind */
+	GHashTable *racks; /* name -> struct rack */
+	GHashTable *loads; /* service -> struct service_load */
+	uint64_t placement; /* number of the current call of cell_place() */
 	GHashTable *queues; /* name -> struct queue */
 	GHashTable *verdicts; /* job id -> struct cached_verdict */
 	GHashTable *issuers_heard; /* issuer -> int64_t, see waxwing_cell_issuer_heard() */
@@ -273,6 +315,14 @@
 	uint64_t failed;
 	uint64_t lapsed;
 	uint64_t refused;
+	/* waits for a rack, see struct waxwing_cell_stats */
+	uint64_t near_waits;
+	uint64_t near_waits_near;
+	uint64_t near_waits_far;
+	uint64_t near_waited_ms;
+	uint64_t near_saved_ms;
+	uint64_t near_lost_ms;
+	uint64_t near_visits;
 };
 
 /* Returns true if no other node can own the cell at @now_ms. */
@@ -433,7 +483,26 @@
 bool gang_fits_somewhere(const struct waxwing_cell *cell, const Waxwing__Job *spec,
 			 const Waxwing__JobStep *step);
 
+/* cell_near.c: executors by rack, and waits of tasks for a place on their rack */
+void near_init(struct waxwing_cell *cell);
+void near_destroy(struct waxwing_cell *cell);
+void near_index_executor(struct waxwing_cell *cell, struct executor *executor);
+void near_unindex_executor(struct waxwing_cell *cell, struct executor *executor);
+const char *step_wanted_rack(const struct cell_step *step); /* null: any */
+double step_far_factor(const struct waxwing_cell *cell, const struct executor *executor,
+		       const struct cell_job *job, uint32_t step);
+bool near_learn(const struct waxwing_cell *cell, const struct cell_run *run, double *ran_ms);
+bool near_should_wait(struct waxwing_cell *cell, struct cell_job *job, uint32_t step,
+		      uint32_t index, const struct executor *far, double far_speed, int64_t now_ms);
+void near_wait_ended(struct waxwing_cell *cell, struct cell_job *job, uint32_t step, uint32_t index,
+		     const struct executor *executor, int64_t now_ms);
+void near_add_ahead(struct waxwing_cell *cell, const struct cell_step *step, uint32_t tasks);
+
 /* cell_place.c */
+bool executor_fits(const struct executor *executor, const struct waxwing_capacity *needs);
+bool executor_allowed(const struct executor *executor, const struct cell_job *job, uint32_t step);
+double speed_for(const struct waxwing_cell *cell, const struct executor *executor,
+		 const struct cell_job *job, uint32_t step);
 double run_remaining_ms(const struct cell_run *run, int64_t now_ms);
 struct executor *pick_executor(struct waxwing_cell *cell, const struct cell_job *job, uint32_t step,
 			       const struct task *task, int64_t now_ms, double *speed);
--- a/src/cell/cell_run.c
+++ b/src/cell/cell_run.c
@@ -32,6 +32,12 @@
 	sum->gpu -= part->gpu;
 }
 
+static void allocate(struct executor *executor, const struct waxwing_capacity *needs)
+{
+	capacity_add(&executor->allocated, needs);
+	executor->load->allocated_milli += needs->cpu_milli;
+}
+
 struct cell_run *run_create(struct waxwing_cell *cell, struct executor *executor,
 			    const struct waxwing_run_id *id, const struct waxwing_capacity *needs)
 {
@@ -40,7 +46,8 @@
 	run->id = *id;
 	run->executor = executor;
 	run->needs = *needs;
-	capacity_add(&executor->allocated, needs);
+	run->far_factor = 1;
+	allocate(executor, needs);
 	g_ptr_array_add(executor->runs, run);
 	cell->runs++;
 	return run;
@@ -51,6 +58,7 @@
 	struct executor *executor = run->executor;
 
 	capacity_subtract(&executor->allocated, &run->needs);
+	executor->load->allocated_milli -= run->needs.cpu_milli;
 	g_ptr_array_remove_fast(executor->runs, run);
 	if (!executor->runs->len)
 		executor->lease_ms = cell->options.max_lease_ms;
@@ -94,7 +102,8 @@
 	run->first_seen_ms = 0;
 	run->job = job;
 	run->needs = step_needs(job->steps[run->id.step].spec);
-	capacity_add(&run->executor->allocated, &run->needs);
+	run->far_factor = step_far_factor(cell, run->executor, job, run->id.step);
+	allocate(run->executor, &run->needs);
 	task->last_run = MAX(task->last_run, run->id.run);
 	task->run = run;
 	job_task_assigned(cell, job, run->id.step, run->id.index);
@@ -113,13 +122,15 @@
 	cell->options.ops->stop(cell->options.data, &target, &run->id);
 }
 
-static void learn_run_time(struct cell_run *run, int64_t now_ms)
+static void learn_run_time(const struct waxwing_cell *cell, struct cell_run *run, int64_t now_ms)
 {
 	const Waxwing__JobStep *step = run->job->steps[run->id.step].spec;
 	double ran_ms = (double)MAX(now_ms - run->started_ms, 1);
 	struct waxwing_speed_estimate *speed = &run->executor->speed;
 	struct waxwing_speed_estimate of_kind = run->executor->kind->speed;
 
+	if (!near_learn(cell, run, &ran_ms))
+		return;
 	waxwing_estimate_learn(&run->job->queue->ratio, speed,
 			       ran_ms / step_estimate_ms(step) * RATIO_SCALE);
 	/* the kind's speed is the initial speed of executors added later */
@@ -156,7 +167,7 @@
 	if (job && end == WAXWING_RUN_DONE && !long_running) {
 		/* the speed of a backfill task depends on the other tasks on its executor */
 		if (!job->steps[id.step].spec->fills)
-			learn_run_time(run, now_ms);
+			learn_run_time(cell, run, now_ms);
 		waxwing_breaker_record_success(&executor->breaker, now_ms);
 	}
 	if (job)
--- a/test/cell_fixture.h
+++ b/test/cell_fixture.h
@@ -150,6 +150,9 @@
 	int64_t started_ms; /* reported in answers to holds; 0: unknown */
 };
 
+/* Duration far from the data divided by that near, of cells that are set up next. */
+static double next_data_factor = 1;
+
 static void set_up_cell_with(struct fixture *fixture, const struct waxwing_cell_ops *cell_ops,
 			     bool took_over, bool recovering)
 {
@@ -160,7 +163,7 @@
 		.fencing_token = 7,
 		.max_lease_ms = MAX_LEASE_MS,
 		.stop_ms = STOP_MS,
-		.remote_data_factor = 1,
+		.remote_data_factor = next_data_factor,
 		.took_over = took_over,
 		.recovering = recovering,
 		.list_incomplete = recovering,
@@ -193,7 +196,7 @@
 	set_up_cell(fixture, took_over, false);
 }
 
-static void tear_down(struct fixture *fixture)
+static G_GNUC_UNUSED void tear_down(struct fixture *fixture)
 {
 	waxwing_cell_destroy(fixture->cell);
 	g_array_free(fixture->recorder.starts, TRUE);
@@ -266,6 +269,9 @@
 /* Template of the steps of jobs that are offered next. */
 static Waxwing__JobStep step_template = WAXWING__JOB_STEP__INIT;
 
+/* Priority of jobs that are offered next. */
+static uint32_t next_priority;
+
 /* Age of jobs that are offered next. */
 static uint32_t next_age_ms;
 
@@ -294,6 +300,7 @@
 	job.stretch_milli = 1600;
 	job.allowance_ms = 60;
 	job.patience_ms = 5000;
+	job.priority = next_priority;
 	job.has_kept = durable;
 	job.kept = durable;
 	step.count = count;
