--- a/src/node/node.c
+++ b/src/node/node.c
@@ -262,6 +262,27 @@
 				(unsigned long long)node->not_completed_by_reason[reason]);
 }
 
+static void print_near_waits(const char *cell, const struct waxwing_cell_stats *stats,
+			     GString *text)
+{
+	const struct {
+		const char *name;
+		uint64_t value;
+	} counters[] = {
+		{ "waits", stats->near_waits },
+		{ "waits_ended_near", stats->near_waits_near },
+		{ "waits_ended_far", stats->near_waits_far },
+		{ "waited_ms", stats->near_waited_ms },
+		{ "saved_ms", stats->near_saved_ms },
+		{ "lost_ms", stats->near_lost_ms },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(counters); i++)
+		g_string_append_printf(text, "waxwing_cell_near_%s_total{cell=\"%s\"} %llu\n",
+				       counters[i].name, cell,
+				       (unsigned long long)counters[i].value);
+}
+
 /*
  * Prints how long the jobs of an owned cell waited for their first start, and the delay of its
  * journal.
@@ -334,6 +355,7 @@
 				       (unsigned long long)stats.failed, cell->name,
 				       (unsigned long long)stats.lapsed, cell->name,
 				       (unsigned long long)stats.refused);
+		print_near_waits(cell->name, &stats, text);
 	}
 	return g_string_free(text, FALSE);
 }
