node: jobs go to the cell that has the rack of their data

Cause: issuers did not know which cell has a rack, so a job for data on a rack was as likely to run in a cell where all its tasks are far. Change: an owner's pong carries the version of its set of racks, and the racks' hashes until the issuer has them. cell_cost() adds the cost of running far in cells known not to have a step's rack. Tests: without the added cost, job_goes_to_its_rack and after_takeover of test_node_racks fail; with hashes in every pong, named_once fails.

--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -403,6 +403,16 @@
 void waxwing_cell_get_stats(struct waxwing_cell *cell, int64_t now_ms,
 			    struct waxwing_cell_stats *stats);
 
+/** Returns the hash by which messages between nodes name a rack. */
+uint64_t waxwing_rack_hash(const char *rack);
+
+/** Identifies the set of racks of the executors that are not draining; 0: there are none. */
+uint64_t waxwing_cell_racks_version(const struct waxwing_cell *cell);
+
+/** Calls @each for every such rack. */
+void waxwing_cell_foreach_rack(const struct waxwing_cell *cell,
+			       void (*each)(void *data, uint64_t rack_hash), void *data);
+
 /** Time from a job's arrival at its issuer to the first start of one of its tasks. */
 const struct waxwing_histogram *waxwing_cell_start_wait_histogram(const struct waxwing_cell *cell);
 
--- a/src/cell/cell_near.c
+++ b/src/cell/cell_near.c
@@ -87,12 +87,52 @@
 	return load;
 }
 
+uint64_t waxwing_rack_hash(const char *rack)
+{
+	return waxwing_str_hash((struct waxwing_str){ strlen(rack), rack }, 0);
+}
+
+uint64_t waxwing_cell_racks_version(const struct waxwing_cell *cell)
+{
+	return cell->racks_sum;
+}
+
+void waxwing_cell_foreach_rack(const struct waxwing_cell *cell,
+			       void (*each)(void *data, uint64_t rack_hash), void *data)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, cell->racks);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct rack *rack = value;
+
+		if (rack->listed)
+			each(data, waxwing_rack_hash(rack->name));
+	}
+}
+
+/* The sum does not depend on the order of changes: two owners have the same for equal sets. */
+static void set_listed(struct waxwing_cell *cell, struct executor *executor, bool listed)
+{
+	struct rack *rack = executor->rack_entry;
+
+	if (listed == executor->rack_listed)
+		return;
+	executor->rack_listed = listed;
+	if (listed && !rack->listed++)
+		cell->racks_sum += waxwing_rack_hash(rack->name);
+	if (!listed && !--rack->listed)
+		cell->racks_sum -= waxwing_rack_hash(rack->name);
+}
+
 static void leave_rack(struct waxwing_cell *cell, struct executor *executor)
 {
 	struct rack *rack = executor->rack_entry;
 
 	if (!rack)
 		return;
+	set_listed(cell, executor, false);
 	executor->rack_entry = NULL;
 	g_ptr_array_remove_fast(rack->executors, executor);
 	if (!rack->executors->len)
@@ -116,6 +156,7 @@
 		executor->rack_entry = find_rack(cell, executor->rack);
 		g_ptr_array_add(executor->rack_entry->executors, executor);
 	}
+	set_listed(cell, executor, !executor->draining);
 	leave_load(executor);
 	executor->load = find_load(cell, executor->service);
 	executor->load_milli = executor->draining ? 0 : executor->capacity.cpu_milli;
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -219,6 +219,7 @@
 	/* Indexes, see cell_near.c. */
 	struct rack *rack_entry;
 	struct service_load *load;
+	bool rack_listed; /* counted in rack_entry->listed */
 	uint32_t load_milli; /* its part of load->capacity_milli */
 };
 
@@ -226,6 +227,7 @@
 struct rack {
 	char *name;
 	GPtrArray *executors; /* struct executor */
+	uint32_t listed; /* executors that are not draining */
 	uint64_t placement; /* call of cell_place() that ahead_milli belongs to */
 	uint64_t ahead_milli; /* CPU of tasks that want the rack and are served earlier */
 	double offered_milli; /* mean CPU in use if all tasks that want the rack ran there */
@@ -286,6 +288,7 @@
 	GPtrArray *executors; /* struct executor */
 	GHashTable *kinds; /* name -> struct hardware_kind */
 	GHashTable *racks; /* name -> struct rack */
+	uint64_t racks_sum; /* sum of the hashes of the racks with listed executors */
 	GHashTable *loads; /* service -> struct service_load */
 	uint64_t placement; /* number of the current call of cell_place() */
 	GHashTable *queues; /* name -> struct queue */
--- a/src/node/node_cells.c
+++ b/src/node/node_cells.c
@@ -119,6 +119,7 @@
 		cell->claim = waxwing_cell_claim_create(&options);
 		cell->owner_key = waxwing_cell_claim_key(cell->name);
 		cell->waiting_jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+		node_racks_create(cell);
 		g_ptr_array_add(node->cells, cell);
 	}
 }
@@ -136,6 +137,7 @@
 		waxwing_cell_claim_destroy(cell->claim);
 		node_release_forget(cell);
 		g_hash_table_destroy(cell->waiting_jobs);
+		node_racks_destroy(cell);
 		g_free(cell->name);
 		g_free(cell);
 	}
@@ -230,6 +232,7 @@
 	cell->free_milli = stats.free_milli;
 	cell->wait_ms = stats.wait_ms;
 	cell->rejects_durable_jobs = node_owner_rejects_durable_jobs(cell);
+	node_racks_refresh_owned(cell);
 }
 
 void node_cells_run(struct waxwing_node *node, int64_t now_ms)
@@ -267,6 +270,7 @@
 	cell->wait_ms = pong->wait_ms;
 	cell->rejects_durable_jobs = pong->keeps_none;
 	cell->is_standby = pong->standby;
+	node_racks_handle_pong(cell, pong);
 	g_hash_table_remove_all(cell->waiting_jobs);
 	for (size_t i = 0; i < pong->n_waiting; i++)
 		g_hash_table_insert(cell->waiting_jobs, g_strdup(pong->waiting[i]->queue),
--- a/src/node/node_jobs.c
+++ b/src/node/node_jobs.c
@@ -77,7 +77,7 @@
 	if (cpu_milli > cell->free_milli)
 		cost += (cpu_milli - cell->free_milli) / cpu_milli * CPU_SHORTFALL_COST *
 			job->steps[0]->estimated_ms;
-	return cost;
+	return cost + node_racks_far_cost_ms(cell, job);
 }
 
 /*
--- a/src/node/node_owner.c
+++ b/src/node/node_owner.c
@@ -603,7 +603,7 @@
 	return rows;
 }
 
-static void answer_ping(struct node_cell *cell, const struct issuer *issuer,
+static void answer_ping(struct node_cell *cell, struct issuer *issuer,
 			const Waxwing__CellPing *ping)
 {
 	Waxwing__NodeMessage message = begin_message(cell);
@@ -612,6 +612,7 @@
 	GPtrArray *news = build_owner_news(cell->node, ping);
 	struct waxwing_cell_stats stats;
 	int64_t now_ms = node_now(cell->node);
+	GArray *racks = node_racks_describe(cell, issuer, &pong, now_ms);
 
 	waxwing_cell_get_stats(cell->owned, now_ms, &stats);
 	waxwing_cell_foreach_waiting_queue(cell->owned, add_waiting, waiting);
@@ -629,6 +630,7 @@
 	pong.standby = node_entries_is_standby(cell, issuer);
 	message.pong = &pong;
 	send_answer(cell, issuer->sender, &message);
+	g_array_free(racks, TRUE);
 	g_ptr_array_free(waiting, TRUE);
 	g_ptr_array_free(news, TRUE);
 }
@@ -669,7 +671,7 @@
 void node_owner_message(struct node_cell *cell, uint64_t sender, Waxwing__NodeMessage *message)
 {
 	Waxwing__NodeMessage answer = begin_message(cell);
-	const struct issuer *issuer;
+	struct issuer *issuer;
 
 	if (!cell->owned || message->fencing_token != answer.fencing_token) {
 		answer.fencing_token = message->fencing_token;
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -41,6 +41,11 @@
 	bool rejects_durable_jobs; /* the owner currently refuses durable jobs */
 	bool is_standby; /* the last owner chose this node to replace it */
 	GHashTable *waiting_jobs; /* queue -> number of waiting jobs */
+	/* racks of its executors, see node_racks.c; also set for an owned cell */
+	GHashTable *racks; /* set of hashes */
+	uint64_t racks_version; /* of the set; 0: unknown */
+	uint64_t racks_token; /* of the owner whose pong was used last */
+	int64_t racks_owner_ms; /* that pong's time */
 	/* used while this node owns the cell: */
 	struct waxwing_cell *owned; /* null: this node is not the owner */
 	struct waxwing_journal *journal; /* null: this node is not the owner */
@@ -70,6 +75,8 @@
 	/* the issuer no longer receives the owner's messages; its jobs were stopped */
 	bool is_unresponsive;
 	uint32_t claim_delay_ms; /* how long it would wait before it claims the cell */
+	uint64_t racks_version; /* version of the racks in the last pong sent to it */
+	int64_t racks_sent_ms; /* when a pong with that version was first sent */
 };
 
 /* A caller's job that has not been answered. */
@@ -139,6 +146,16 @@
 void node_send(struct node_cell *cell, Waxwing__NodeMessage *message);
 struct node_cell *node_cell_find(struct waxwing_node *node, const char *name);
 
+/* node_racks.c: which racks the executors of each cell have */
+void node_racks_create(struct node_cell *cell);
+void node_racks_destroy(struct node_cell *cell);
+/* Sets the pong's fields; the caller frees the returned array after the pong was sent. */
+GArray *node_racks_describe(const struct node_cell *cell, struct issuer *issuer,
+			    Waxwing__CellPong *pong, int64_t now_ms);
+void node_racks_handle_pong(struct node_cell *cell, const Waxwing__CellPong *pong);
+void node_racks_refresh_owned(struct node_cell *cell);
+double node_racks_far_cost_ms(const struct node_cell *cell, const Waxwing__Job *job);
+
 /* node_owner.c */
 void node_owner_begin(struct node_cell *cell, uint64_t token);
 void node_owner_end(struct node_cell *cell);
--- a/test/node_sim_executors.h
+++ b/test/node_sim_executors.h
@@ -248,6 +248,7 @@
 	struct client_job *job = find_client(sim, run_id);
 
 	sim->starts++;
+	sim->zone_starts[executor->zone]++;
 	for (int i = 0; i < EXECUTORS; i++) {
 		struct sim_executor *other = &sim->executors[i];
 
--- a/test/node_sim_nodes.h
+++ b/test/node_sim_nodes.h
@@ -60,11 +60,26 @@
 	send_message(from, atoi(strrchr(address, ':') + 1), 0, from->incarnation, message);
 }
 
+/* Duration far from the data divided by that near, of nodes that are started next. */
+static double next_data_factor = 1;
+/* The racks are named like the failure domains. */
+static bool racks_by_zone;
+/* Rack of the data of jobs that are created next; null: none. */
+static const char *next_affinity;
+/* Owners are of the release that does not name racks in its pongs. */
+static bool pongs_without_racks;
+
 static void fake_link_answer(struct waxwing_link *link, uint64_t sender,
 			     const Waxwing__NodeMessage *message)
 {
 	struct sim_host *from = host_of_link(link);
+	Waxwing__CellPong *pong = message->pong;
 
+	if (pong && pongs_without_racks) {
+		pong->has_racks_version = false;
+		pong->n_rack_hashes = 0;
+	}
+	from->sim->rack_pongs += pong && pong->n_rack_hashes;
 	for (int i = 0; i < NODES; i++)
 		if (from->sim->hosts[i].incarnation == sender)
 			send_message(from, i, sender, 0, message);
@@ -99,7 +114,7 @@
 		.service = "service",
 		.zone = parts[0],
 		.kind = "kind",
-		.rack = "rack",
+		.rack = racks_by_zone ? parts[0] : "rack",
 		.labels = labels,
 		.capacity = { EXECUTOR_CPU_MILLI, 65536, 0 },
 		.started_ms = atoll(parts[2]),
@@ -145,7 +160,7 @@
 		.state_retention_ms = 120000,
 		.max_value_bytes = 1048576,
 		.min_ttl_ms = 1000,
-		.remote_data_factor = 1,
+		.remote_data_factor = next_data_factor,
 		.read_executor = sim_read_executor,
 		.read_routing = sim_read_routing,
 		.routing_key = "op/config",
@@ -330,6 +345,7 @@
 	step.cpu_milli = 6000;
 	step.has_estimated_ms = true;
 	step.estimated_ms = job->work_ms;
+	step.affinity = (char *)next_affinity;
 	second = step;
 	second.n_after = 1;
 	second.after = &first;
--- a/test/node_sim_types.h
+++ b/test/node_sim_types.h
@@ -246,6 +246,8 @@
 	uint64_t next_job;
 	uint32_t violations;
 	uint32_t starts;
+	uint32_t zone_starts[ZONES];
+	uint32_t rack_pongs; /* pongs that named racks */
 	char first_violation[200];
 };
 
