--- a/test/test_cell_near.c
+++ b/test/test_cell_near.c
@@ -1,5 +1,10 @@
 /* Tests of a single cell: tasks that wait for a place on the rack of their data. */
 #include "cell_fixture.h"
+#include "event_log.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
 
 #define SLOT	1000
 #define NEAR_MS 100
@@ -224,6 +229,49 @@
 	tear_down(&fixture);
 }
 
+/* Returns how often @text contains @part. */
+static guint count_parts(const char *text, const char *part)
+{
+	guint count = 0;
+
+	for (const char *at = strstr(text, part); at; at = strstr(at + 1, part))
+		count++;
+	return count;
+}
+
+/* Guards against a log line at each placement while a task waits. Opens the log: runs last. */
+static void test_one_event(void)
+{
+	struct fixture fixture;
+	uint64_t handle = set_up_busy_rack(&fixture, false);
+	int saved_stdout;
+	int ends[2];
+	char text[8192];
+	ssize_t len;
+
+	g_assert_cmpint(pipe(ends), ==, 0);
+	fflush(stdout);
+	saved_stdout = dup(STDOUT_FILENO);
+	dup2(ends[1], STDOUT_FILENO);
+	waxwing_event_log_open("node", "zone");
+	offer_for(&fixture, 2, "hot");
+	advance(&fixture, 20);
+	end_job_1(&fixture, handle);
+	advance(&fixture, 5);
+	dup2(saved_stdout, STDOUT_FILENO);
+	close(saved_stdout);
+	close(ends[1]);
+	len = read(ends[0], text, sizeof(text) - 1);
+	close(ends[0]);
+	g_assert_cmpint(len, >, 0);
+	text[len] = '\0';
+	assert_starts(&fixture, 1, 2, "near");
+	g_assert_cmpuint(count_parts(text, "\"event\":\"near_wait\""), ==, 1);
+	g_assert_cmpuint(count_parts(text, "\"how\":\"near\""), ==, 1);
+	g_assert_cmpuint(count_parts(text, "\"waited_ms\":20"), ==, 1);
+	tear_down(&fixture);
+}
+
 /* Fills all @rack_size places on the rack, and returns the executors that one decision examines. */
 static uint64_t visits_of_decision(guint executors, guint rack_size)
 {
@@ -282,5 +330,6 @@
 	g_test_add_func("/cell_near/urgent_first", test_urgent_first);
 	g_test_add_func("/cell_near/one_behind_the_other", test_one_behind_the_other);
 	g_test_add_func("/cell_near/cost", test_cost);
+	g_test_add_func("/cell_near/one_event", test_one_event);
 	return g_test_run();
 }
