cell: waits for a rack that end with their job are counted and logged

Cause: the wait of a task whose caller went was neither logged nor in the counters, so waits began that never ended. Change: near_waits_drop() ends them when the job is closed. Another test checks that owners export all counters of waits. Tests: /cell_near/withdrawn is new; without the call in job_close() near_waits_dropped stays 0.

--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -394,7 +394,8 @@
 	uint64_t near_waits; /**< waits for a place on a task's rack that began */
 	uint64_t near_waits_near; /**< of these, how many ended on the rack */
 	uint64_t near_waits_far; /**< how many ended on another rack */
-	uint64_t near_waited_ms; /**< total of the waits that ended with a start */
+	uint64_t near_waits_dropped; /**< how many ended with the job, without a start */
+	uint64_t near_waited_ms; /**< total of the waits that have ended */
 	uint64_t near_saved_ms; /**< by how much tasks are expected to end sooner after a wait */
 	uint64_t near_lost_ms; /**< by how much they are expected to end later */
 	uint64_t near_visits; /**< executors that decisions about waits have examined */
--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -332,6 +332,7 @@
 		job->queue->waiting_jobs--;
 	job->ended = true;
 	job->closed_ms = now_ms;
+	near_waits_drop(cell, job, now_ms);
 	drop_ready_tasks(cell, job);
 	if (job->occurrences)
 		occurrences_close_all(cell, job, now_ms);
--- a/src/cell/cell_near.c
+++ b/src/cell/cell_near.c
@@ -468,12 +468,37 @@
 	return true;
 }
 
+/* Logs the end of a task's wait; @executor is null if the task is not run. */
+static void log_wait(const struct cell_job *job, uint32_t step, uint32_t index,
+		     const struct executor *executor, const char *how, int64_t ms, int64_t gain_ms)
+{
+	const struct near_wait *wait = job->steps[step].tasks[index].near_wait;
+	const char *rack = step_wanted_rack(&job->steps[step]);
+
+	waxwing_event(
+		"near_wait",
+		"job=%016llx step=%u index=%u rack=%s executor=%s how=%s why=%s waited_ms=%lld "
+		"expected_ms=%d near_ms=%d far_ms=%d inputs_age_ms=%lld gain_ms=%lld",
+		(unsigned long long)job->id, step, index, rack ? rack : "",
+		executor ? executor->id : "", how, waxwing_near_wait_reason_name(wait->reason),
+		(long long)ms, (int)wait->near_free_ms, (int)wait->near_ms, (int)wait->far_ms,
+		(long long)ms, (long long)gain_ms);
+}
+
+static void free_wait(struct waxwing_cell *cell, struct task *task, int64_t ms)
+{
+	cell->near_waited_ms += (uint64_t)ms;
+	task->near_waited_ms += ms;
+	g_free(task->near_wait);
+	task->near_wait = NULL;
+}
+
 /* Called when a task is about to start on @executor. Counts and logs its wait, if it has waited. */
 void near_wait_ended(struct waxwing_cell *cell, struct cell_job *job, uint32_t step, uint32_t index,
 		     const struct executor *executor, int64_t now_ms)
 {
 	struct task *task = &job->steps[step].tasks[index];
-	struct near_wait *wait = task->near_wait;
+	const struct near_wait *wait = task->near_wait;
 	const char *rack = step_wanted_rack(&job->steps[step]);
 	bool near = rack && strcmp(executor->rack, rack) == 0;
 	int64_t ms;
@@ -486,18 +511,30 @@
 	gain_ms = (near ? (int64_t)(wait->far_ms - wait->near_ms) : 0) - ms;
 	cell->near_waits_near += near;
 	cell->near_waits_far += !near;
-	cell->near_waited_ms += (uint64_t)ms;
 	cell->near_saved_ms += (uint64_t)MAX(gain_ms, 0);
 	cell->near_lost_ms += (uint64_t)MAX(-gain_ms, 0);
-	waxwing_event(
-		"near_wait",
-		"job=%016llx step=%u index=%u rack=%s executor=%s how=%s why=%s waited_ms=%lld "
-		"expected_ms=%d near_ms=%d far_ms=%d inputs_age_ms=%lld gain_ms=%lld",
-		(unsigned long long)job->id, step, index, rack ? rack : "", executor->id,
-		near ? "near" : "far", waxwing_near_wait_reason_name(wait->reason), (long long)ms,
-		(int)wait->near_free_ms, (int)wait->near_ms, (int)wait->far_ms, (long long)ms,
-		(long long)gain_ms);
-	task->near_waited_ms += ms;
-	g_free(wait);
-	task->near_wait = NULL;
+	log_wait(job, step, index, executor, near ? "near" : "far", ms, gain_ms);
+	free_wait(cell, task, ms);
+}
+
+/* Ends the waits of a job of which no more tasks start. */
+void near_waits_drop(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms)
+{
+	for (uint32_t step = 0; step < job->step_count; step++) {
+		struct cell_step *cell_step = &job->steps[step];
+
+		if (!step_wanted_rack(cell_step))
+			continue;
+		for (uint32_t index = 0; index < cell_step->spec->count; index++) {
+			struct task *task = &cell_step->tasks[index];
+			int64_t ms;
+
+			if (!task->near_wait)
+				continue;
+			ms = now_ms - task->near_wait->since_ms;
+			cell->near_waits_dropped++;
+			log_wait(job, step, index, NULL, "dropped", ms, -ms);
+			free_wait(cell, task, ms);
+		}
+	}
 }
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -322,6 +322,7 @@
 	uint64_t near_waits;
 	uint64_t near_waits_near;
 	uint64_t near_waits_far;
+	uint64_t near_waits_dropped;
 	uint64_t near_waited_ms;
 	uint64_t near_saved_ms;
 	uint64_t near_lost_ms;
@@ -499,6 +500,7 @@
 		      uint32_t index, const struct executor *far, double far_speed, int64_t now_ms);
 void near_wait_ended(struct waxwing_cell *cell, struct cell_job *job, uint32_t step, uint32_t index,
 		     const struct executor *executor, int64_t now_ms);
+void near_waits_drop(struct waxwing_cell *cell, struct cell_job *job, int64_t now_ms);
 void near_add_ahead(struct waxwing_cell *cell, const struct cell_step *step, uint32_t tasks);
 
 /* cell_place.c */
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -272,6 +272,7 @@
 		{ "waits", stats->near_waits },
 		{ "waits_ended_near", stats->near_waits_near },
 		{ "waits_ended_far", stats->near_waits_far },
+		{ "waits_dropped", stats->near_waits_dropped },
 		{ "waited_ms", stats->near_waited_ms },
 		{ "saved_ms", stats->near_saved_ms },
 		{ "lost_ms", stats->near_lost_ms },
--- a/test/test_cell_near.c
+++ b/test/test_cell_near.c
@@ -239,6 +239,23 @@
 	return count;
 }
 
+/* Guards against waits that are never accounted for: the caller goes while its task waits. */
+static void test_withdrawn(void)
+{
+	struct fixture fixture;
+
+	set_up_busy_rack(&fixture, false);
+	offer_for(&fixture, 2, "hot");
+	advance(&fixture, 20);
+	waxwing_cell_withdraw(fixture.cell, fixture.now_ms, WAXWING_ISSUER_SELF, 2);
+	advance(&fixture, 5);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 1);
+	g_assert_cmpuint(stats_of(&fixture).near_waits, ==, 1);
+	g_assert_cmpuint(stats_of(&fixture).near_waits_dropped, ==, 1);
+	g_assert_cmpuint(stats_of(&fixture).near_waits_far, ==, 0);
+	tear_down(&fixture);
+}
+
 /* Guards against a log line at each placement while a task waits. Opens the log: runs last. */
 static void test_one_event(void)
 {
@@ -330,6 +347,7 @@
 	g_test_add_func("/cell_near/urgent_first", test_urgent_first);
 	g_test_add_func("/cell_near/one_behind_the_other", test_one_behind_the_other);
 	g_test_add_func("/cell_near/cost", test_cost);
+	g_test_add_func("/cell_near/withdrawn", test_withdrawn);
 	g_test_add_func("/cell_near/one_event", test_one_event);
 	return g_test_run();
 }
--- a/test/test_node_racks.c
+++ b/test/test_node_racks.c
@@ -63,6 +63,32 @@
 	return (double)sim->zone_starts[zone] / MAX(all, 1);
 }
 
+/* Every owner exports the counters of waits for a rack. */
+static void assert_metrics(struct cluster_sim *sim)
+{
+	static const char *const names[] = { "waits",	      "waits_ended_near", "waits_ended_far",
+					     "waits_dropped", "waited_ms",	  "saved_ms",
+					     "lost_ms" };
+	GString *all = g_string_new(NULL);
+
+	for (int i = 0; i < NODES; i++) {
+		char *text = waxwing_node_metrics(sim->hosts[i].node);
+
+		g_string_append(all, text);
+		g_free(text);
+	}
+	for (int zone = 0; zone < ZONES; zone++) {
+		for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+			char *line = g_strdup_printf("\nwaxwing_cell_near_%s_total{cell=\"%s\"} ",
+						     names[i], zone_names[zone]);
+
+			g_assert_nonnull(strstr(all->str, line));
+			g_free(line);
+		}
+	}
+	g_string_free(all, TRUE);
+}
+
 /*
  * Load: 5 jobs a second for data in one domain, submitted at all nodes. Guards against running
  * them far from their data while their domain has room; also while messages are lost, and after
@@ -74,6 +100,7 @@
 
 	run_jobs(sim, "z1");
 	g_assert_cmpfloat(zone_share(sim, 1), >=, MIN_NEAR_SHARE);
+	assert_metrics(sim);
 	sim->lost_message_share = 0.2;
 	run_jobs(sim, "z2");
 	g_assert_cmpfloat(zone_share(sim, 2), >=, MIN_NEAR_SHARE);
