--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -14,6 +14,7 @@
 #define WAXWING_CELL_H
 
 #include "generated/node.pb-c.h"
+#include "near_wait.h"
 #include "str.h"
 #include "waxwingswitch/error.h"
 
@@ -237,6 +238,7 @@
 	uint32_t stop_ms; /**< longest time that an executor takes to stop a run */
 	/** Run time of a task on another rack than its data, divided by that on the same rack. */
 	double remote_data_factor;
+	enum waxwing_near_wait_policy near_wait; /**< which tasks wait for a place on their rack */
 	bool took_over; /**< executors may still have runs that a former owner started */
 	/**
 	 * Executors that are not known yet may have runs of a former owner: tasks of the former
@@ -429,11 +431,29 @@
 	uint32_t cold; /**< executors that are slow after their start */
 	uint64_t cold_phases; /**< times that an executor was found to be cold */
 	uint64_t cold_starts; /**< runs on cold executors, including those of former owners */
+	uint64_t near_waits; /**< waits for a place on a task's rack that began */
+	uint64_t near_waits_near; /**< of these, how many ended on the rack */
+	uint64_t near_waits_far; /**< how many ended on another rack */
+	uint64_t near_waits_dropped; /**< how many ended with the job, without a start */
+	uint64_t near_waited_ms; /**< total of the waits that have ended */
+	uint64_t near_saved_ms; /**< by how much tasks are expected to end sooner after a wait */
+	uint64_t near_lost_ms; /**< by how much they are expected to end later */
+	uint64_t near_visits; /**< executors that decisions about waits have examined */
 };
 
 void waxwing_cell_get_stats(struct waxwing_cell *cell, int64_t now_ms,
 			    struct waxwing_cell_stats *stats);
 
+/** Returns the hash by which messages between nodes name a rack. */
+uint64_t waxwing_rack_hash(const char *rack);
+
+/** Identifies the set of racks of the executors that are not draining; 0: there are none. */
+uint64_t waxwing_cell_racks_version(const struct waxwing_cell *cell);
+
+/** Calls @each for every such rack. */
+void waxwing_cell_foreach_rack(const struct waxwing_cell *cell,
+			       void (*each)(void *data, uint64_t rack_hash), void *data);
+
 /** Time from a job's arrival at its issuer to the first start of one of its tasks. */
 const struct waxwing_histogram *waxwing_cell_start_wait_histogram(const struct waxwing_cell *cell);
 
--- a/src/cell/cell_cold.c
+++ b/src/cell/cell_cold.c
@@ -159,8 +159,8 @@
 	const struct waxwing_work_estimate *ratio = &run->job->queue->ratio;
 	struct hardware_kind *kind = run->executor->kind;
 	double ran_ms = (double)MAX(now_ms - run->started_ms, 1);
-	double warm_ms = step_work_ms(run->job, run->job->steps[run->id.step].spec) /
-			 run->executor->speed.value;
+	double warm_ms = step_work_ms(run->job, run->job->steps[run->id.step].spec) *
+			 run->far_factor / run->executor->speed.value;
 
 	if (ratio->samples < MIN_WARM_SAMPLES)
 		return;
--- a/src/cell/cell_job.c
+++ b/src/cell/cell_job.c
@@ -245,6 +245,7 @@
 		g_array_free(task->failed_runs, TRUE);
 	g_free(task->last_failed_on);
 	g_free(task->checkpoint);
+	g_free(task->near_wait);
 }
 
 void job_free(struct waxwing_cell *cell, struct cell_job *job)
@@ -331,6 +332,7 @@
 		job->queue->waiting_jobs--;
 	job->ended = true;
 	job->closed_ms = now_ms;
+	near_waits_drop(cell, job, now_ms);
 	drop_ready_tasks(cell, job);
 	if (job->occurrences)
 		occurrences_close_all(cell, job, now_ms);
