test: each hostile crowd is waited for

Cause: the ready line of the crowd before could count for the next one of the same script, which was then stopped before it had connected.

Change: hostile_lib.sh removes the former output first. Crowd and bounds are unchanged. The connections of header-fields are all closed by libmicrohttpd, which refuses that many fields already; that form does not fail by itself.

--- a/test/scripts/hostile_lib.sh
+++ b/test/scripts/hostile_lib.sh
@@ -58,6 +58,7 @@
 run_crowd() {
 	form=$1
 	shift
+	rm -f "$WORK/crowd.out" # of the crowd before, which would count as ready
 	start crowd "$BUILD/standin-hostile_client" --form "$form" --count 640 "$@"
 	wait_until "the crowd is connected" has_ready_line crowd
 	note_open
