--- a/test/test_platform_adapter.c
+++ b/test/test_platform_adapter.c
@@ -20,6 +20,8 @@
 				     "Listen.Ready=10.1.0.13:8167\n"
 				     "InternalPorts=7720,7735\n"
 				     "Limits.CpuShare=0.25\n"
+				     "Limits.MemoryMb=120\n"
+				     "Limits.FileDescriptors=3075\n"
 				     "Bounds.HoldMaxMs=1000\n"
 				     "Bounds.StopMs=50\n"
 				     "Bounds.GraceS=6\n"
@@ -43,6 +45,8 @@
 	g_assert_cmpuint(settings->max_lease_ms, ==, 1000);
 	g_assert_cmpfloat(settings->remote_data_factor, ==, 1.5);
 	g_assert_cmpfloat(settings->cpu_share, ==, 0.25);
+	g_assert_cmpuint(settings->memory_mb, ==, 120);
+	g_assert_cmpuint(settings->file_descriptors, ==, 3075);
 	platform_settings_destroy(settings);
 }
 
