--- a/test/test_platform_adapter.c
+++ b/test/test_platform_adapter.c
@@ -4,6 +4,7 @@
  */
 #include "executor_http.h"
 #include "job_body.h"
+#include "json.h"
 #include "permits_http.h"
 #include "settings_file.h"
 #include "store_entries.h"
@@ -544,6 +545,23 @@
 		g_assert_false(task_name_parse(malformed[i], &parsed));
 }
 
+/* Guards against a body of legal size whose many short values take many times its memory. */
+static void test_job_values(void)
+{
+	static const struct {
+		const char *text;
+		bool within;
+	} cases[] = {
+		{ "[1,2]", true }, /* itself, and room for two */
+		{ "[1,2,3]", false },	  { "[[1]]", true },
+		{ "[[[1]]]", false },	  { "[\",,,[[[\\\",\"]", true },
+		{ "[',,,[[[\"']", true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
+		g_assert_true(json_within(waxwing_str(cases[i].text), 2, 3) == cases[i].within);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -558,6 +576,7 @@
 	g_test_add_func("/platform/routing_large", test_routing_large);
 	g_test_add_func("/platform/job", test_job);
 	g_test_add_func("/platform/job_faulty", test_job_faulty);
+	g_test_add_func("/platform/job_values", test_job_values);
 	g_test_add_func("/platform/job_repeated", test_job_repeated);
 	g_test_add_func("/platform/permits", test_permits);
 	g_test_add_func("/platform/settings_permits", test_settings_permits);
