--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -206,16 +206,17 @@
 
 	/* Holds and leases. */
 	struct hold_call calls[2]; /* the last regular call, and another that may be outstanding */
-	uint32_t regular_call; /* index in calls */
 	uint64_t last_call; /* number of the last call */
 	uint64_t last_call_at_state; /* last_call when the last state was received */
 	int64_t state_clock_ms; /* the executor's clock in the answer that shows its last state */
-	bool list_wanted; /* by a call that is sent after the one numbered list_after_call */
-	uint64_t list_after_call;
+	uint64_t
+		list_after_call; /* if list_wanted: it is wanted of a call that is sent after this one */
 	int64_t last_heard_ms; /* when a call of any kind was last answered */
 	uint64_t last_call_at_answer; /* last_call when the last answer was received */
 	int64_t last_hedge_ms;
 	int64_t last_lost_ms; /* when a call was last found to be unanswered */
+	uint32_t regular_call; /* index in calls */
+	bool list_wanted;
 	bool hold_requested; /* a hold is needed even if nothing runs there */
 	bool answered; /* has answered a hold */
 	bool runs_listed; /* has listed its runs and ends since the journal was replayed */
@@ -243,8 +244,8 @@
 	struct waxwing_warmup warmup;
 	int64_t warmup_started_ms; /* incarnation that warmup is about, as in started_ms */
 	const struct cold_service *cold_service;
-	bool cold; /* warmup said so at the last scan or entry */
 	uint64_t cold_starts; /* in this cold phase */
+	bool cold; /* warmup said so at the last scan or entry */
 
 	/* Indexes, see cell_near.c. */
 	struct rack *rack_entry;
--- a/test/test_platform_adapter.c
+++ b/test/test_platform_adapter.c
@@ -5,6 +5,7 @@
 #include "executor_http.h"
 #include "job_body.h"
 #include "job_check.h"
+#include "json.h"
 #include "permits_http.h"
 #include "settings_file.h"
 #include "store_entries.h"
@@ -21,6 +22,8 @@
 				     "Listen.Ready=10.1.0.13:8167\n"
 				     "InternalPorts=7720,7735\n"
 				     "Limits.CpuShare=0.25\n"
+				     "Limits.MemoryMb=120\n"
+				     "Limits.FileDescriptors=3075\n"
 				     "Bounds.HoldMaxMs=1000\n"
 				     "Bounds.StopMs=50\n"
 				     "Bounds.GraceS=6\n"
@@ -46,6 +49,8 @@
 	g_assert_cmpuint(settings->evacuation_ms, ==, 5000);
 	g_assert_cmpfloat(settings->remote_data_factor, ==, 1.5);
 	g_assert_cmpfloat(settings->cpu_share, ==, 0.25);
+	g_assert_cmpuint(settings->memory_mb, ==, 120);
+	g_assert_cmpuint(settings->file_descriptors, ==, 3075);
 	platform_settings_destroy(settings);
 }
 
@@ -675,6 +680,23 @@
 		g_assert_false(task_name_parse(malformed[i], &parsed));
 }
 
+/* Guards against a body of legal size whose many short values take many times its memory. */
+static void test_job_values(void)
+{
+	static const struct {
+		const char *text;
+		bool within;
+	} cases[] = {
+		{ "[1,2]", true }, /* itself, and room for two */
+		{ "[1,2,3]", false },	  { "[[1]]", true },
+		{ "[[[1]]]", false },	  { "[\",,,[[[\\\",\"]", true },
+		{ "[',,,[[[\"']", true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
+		g_assert_true(json_within(waxwing_str(cases[i].text), 2, 3) == cases[i].within);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -693,6 +715,7 @@
 	g_test_add_func("/platform/routing_large", test_routing_large);
 	g_test_add_func("/platform/job", test_job);
 	g_test_add_func("/platform/job_faulty", test_job_faulty);
+	g_test_add_func("/platform/job_values", test_job_values);
 	g_test_add_func("/platform/job_repeated", test_job_repeated);
 	g_test_add_func("/platform/permits", test_permits);
 	g_test_add_func("/platform/settings_permits", test_settings_permits);
