--- a/src/http/client_budget.h
+++ b/src/http/client_budget.h
@@ -30,9 +30,9 @@
 /** One connection; embedded by the owner and zeroed before it is opened. */
 struct waxwing_client {
 	GList link; /**< by age; private */
-	enum waxwing_client_class class;
 	uint64_t bytes; /**< held by its request; private */
 	int64_t deadline_ms; /**< 0: none */
+	enum waxwing_client_class class;
 	bool incomplete; /**< its request is still being read */
 };
 
