--- a/src/cell/cell_cold.c
+++ b/src/cell/cell_cold.c
@@ -1,3 +1,8 @@
+/*
+ * Executors that are slow for a while after their start. Their entries tell how much longer. The
+ * entry of a new incarnation may be read before or after the executor first answers for it; until
+ * it is read, the executor counts as cold for as long as its service is after a start.
+ */
 #include "cell_private.h"
 
 #define LOG_COMPONENT "cell"
@@ -16,12 +21,6 @@
 /* Before a queue has this many measured runs, its expected run times are only declared ones. */
 #define MIN_WARM_SAMPLES 5.0
 
-/*
- * Executors that are slow for a while after their start. Their entries tell how much longer. The
- * entry of a new incarnation may be read before or after the executor first answers for it; until
- * it is read, the executor counts as cold for as long as its service is after a start.
- */
-
 void cold_service_free(gpointer service)
 {
 	g_free(((struct cold_service *)service)->name);
