Two structs had the tag of another one

client_budget's struct waxwing_client is a name of the public client library; cell_near.c and cell_admission.c both had a struct release. Renamed, no other change; tests of both modules and script_hostile_bodies pass.

--- a/src/cell/cell_near.c
+++ b/src/cell/cell_near.c
@@ -28,7 +28,7 @@
 };
 
 /* An expected end of a run. */
-struct release {
+struct expected_end {
 	double after_ms;
 	const struct cell_run *run;
 };
@@ -222,10 +222,10 @@
 	return learn || wants_two;
 }
 
-static gint compare_releases(gconstpointer a, gconstpointer b)
+static gint compare_ends(gconstpointer a, gconstpointer b)
 {
-	double left = ((const struct release *)a)->after_ms;
-	double right = ((const struct release *)b)->after_ms;
+	double left = ((const struct expected_end *)a)->after_ms;
+	double right = ((const struct expected_end *)b)->after_ms;
 
 	return left < right ? -1 : left > right;
 }
@@ -238,40 +238,40 @@
 	return left < right ? -1 : left > right;
 }
 
-static GArray *list_releases(const struct executor *executor, int64_t now_ms)
+static GArray *list_expected_ends(const struct executor *executor, int64_t now_ms)
 {
-	GArray *releases = g_array_new(FALSE, FALSE, sizeof(struct release));
+	GArray *ends = g_array_new(FALSE, FALSE, sizeof(struct expected_end));
 
 	for (guint i = 0; i < executor->runs->len; i++) {
 		const struct cell_run *run = executor->runs->pdata[i];
-		struct release release = { 0, run };
+		struct expected_end end = { 0, run };
 
 		if (run->job && !run->job->ended && run_is_long_running(run))
 			continue;
 		if (run->job && !run->job->ended)
-			release.after_ms = run_remaining_ms(run, now_ms);
-		g_array_append_val(releases, release);
+			end.after_ms = run_remaining_ms(run, now_ms);
+		g_array_append_val(ends, end);
 	}
-	g_array_sort(releases, compare_releases);
-	return releases;
+	g_array_sort(ends, compare_ends);
+	return ends;
 }
 
 /* Adds the places for a task with these needs that become free as the executor's runs end. */
 static void add_places(const struct executor *executor, const struct waxwing_capacity *needs,
 		       double speed, int64_t now_ms, GArray *places)
 {
-	GArray *releases = list_releases(executor, now_ms);
+	GArray *ends = list_expected_ends(executor, now_ms);
 	int64_t cpu = (int64_t)executor->capacity.cpu_milli - executor->allocated.cpu_milli;
 	int64_t mem = (int64_t)executor->capacity.mem_mb - executor->allocated.mem_mb;
 	int64_t gpu = (int64_t)executor->capacity.gpu - executor->allocated.gpu;
 
-	for (guint i = 0; i < releases->len; i++) {
-		const struct release *release = &g_array_index(releases, struct release, i);
-		struct place place = { release->after_ms, speed, 0 };
+	for (guint i = 0; i < ends->len; i++) {
+		const struct expected_end *end = &g_array_index(ends, struct expected_end, i);
+		struct place place = { end->after_ms, speed, 0 };
 
-		cpu += release->run->needs.cpu_milli;
-		mem += release->run->needs.mem_mb;
-		gpu += release->run->needs.gpu;
+		cpu += end->run->needs.cpu_milli;
+		mem += end->run->needs.mem_mb;
+		gpu += end->run->needs.gpu;
 		while (cpu >= MAX(needs->cpu_milli, 1) && mem >= needs->mem_mb &&
 		       gpu >= needs->gpu) {
 			cpu -= MAX(needs->cpu_milli, 1);
@@ -282,7 +282,7 @@
 				break; /* one for each end */
 		}
 	}
-	g_array_free(releases, TRUE);
+	g_array_free(ends, TRUE);
 }
 
 static bool may_take(struct waxwing_cell *cell, struct executor *executor,
--- a/src/http/client_budget.c
+++ b/src/http/client_budget.c
@@ -75,7 +75,8 @@
 	return false;
 }
 
-void waxwing_client_budget_open(struct waxwing_client_budget *budget, struct waxwing_client *client,
+void waxwing_client_budget_open(struct waxwing_client_budget *budget,
+				struct waxwing_budget_client *client,
 				enum waxwing_client_class class)
 {
 	client->class = class;
@@ -87,7 +88,7 @@
 }
 
 void waxwing_client_budget_close(struct waxwing_client_budget *budget,
-				 struct waxwing_client *client)
+				 struct waxwing_budget_client *client)
 {
 	waxwing_client_budget_release(budget, client);
 	g_queue_unlink(&budget->clients, &client->link);
@@ -100,7 +101,7 @@
 	return budget->bytes + bytes <= budget->options.max_bytes;
 }
 
-static void close_client(struct waxwing_client_budget *budget, struct waxwing_client *client,
+static void close_client(struct waxwing_client_budget *budget, struct waxwing_budget_client *client,
 			 enum waxwing_client_refusal reason)
 {
 	client->deadline_ms = 0;
@@ -109,13 +110,13 @@
 	budget->options.close(budget->options.data, client);
 }
 
-bool waxwing_client_budget_take(struct waxwing_client_budget *budget, struct waxwing_client *client,
-				uint64_t bytes)
+bool waxwing_client_budget_take(struct waxwing_client_budget *budget,
+				struct waxwing_budget_client *client, uint64_t bytes)
 {
 	GList *link = budget->clients.tail;
 
 	while (!waxwing_client_budget_has(budget, bytes) && link && link->data != client) {
-		struct waxwing_client *younger = link->data;
+		struct waxwing_budget_client *younger = link->data;
 
 		link = link->prev;
 		if (younger->incomplete && younger->bytes)
@@ -129,7 +130,7 @@
 }
 
 void waxwing_client_budget_release(struct waxwing_client_budget *budget,
-				   struct waxwing_client *client)
+				   struct waxwing_budget_client *client)
 {
 	budget->bytes -= client->bytes;
 	client->bytes = 0;
@@ -140,7 +141,7 @@
 	GList *next;
 
 	for (GList *link = budget->clients.head; link; link = next) {
-		struct waxwing_client *client = link->data;
+		struct waxwing_budget_client *client = link->data;
 
 		next = link->next;
 		if (client->deadline_ms && now_ms >= client->deadline_ms)
--- a/src/http/client_budget.h
+++ b/src/http/client_budget.h
@@ -28,7 +28,7 @@
 };
 
 /** One connection; embedded by the owner and zeroed before it is opened. */
-struct waxwing_client {
+struct waxwing_budget_client {
 	GList link; /**< by age; private */
 	uint64_t bytes; /**< held by its request; private */
 	int64_t deadline_ms; /**< 0: none */
@@ -42,7 +42,7 @@
 	/** Bytes that each connection takes for as long as it is open. */
 	uint32_t connection_bytes;
 	/** Closes the connection of @client and drops what it holds; must not free @client. */
-	void (*close)(void *data, struct waxwing_client *client);
+	void (*close)(void *data, struct waxwing_budget_client *client);
 	void *data;
 };
 
@@ -62,11 +62,12 @@
 /** Returns whether a connection of the class may be opened; else counts a refusal. */
 bool waxwing_client_budget_allow(struct waxwing_client_budget *budget,
 				 enum waxwing_client_class class);
-void waxwing_client_budget_open(struct waxwing_client_budget *budget, struct waxwing_client *client,
+void waxwing_client_budget_open(struct waxwing_client_budget *budget,
+				struct waxwing_budget_client *client,
 				enum waxwing_client_class class);
 /** Releases the connection and its bytes. */
 void waxwing_client_budget_close(struct waxwing_client_budget *budget,
-				 struct waxwing_client *client);
+				 struct waxwing_budget_client *client);
 
 /** Returns whether this many more bytes are free; takes nothing. */
 bool waxwing_client_budget_has(const struct waxwing_client_budget *budget, uint64_t bytes);
@@ -74,11 +75,11 @@
  * Takes bytes for the request of @client. If they are not free, closes younger incomplete requests.
  * Returns false, and takes nothing, if that is not enough.
  */
-bool waxwing_client_budget_take(struct waxwing_client_budget *budget, struct waxwing_client *client,
-				uint64_t bytes);
+bool waxwing_client_budget_take(struct waxwing_client_budget *budget,
+				struct waxwing_budget_client *client, uint64_t bytes);
 /** Releases all bytes of the request of @client. */
 void waxwing_client_budget_release(struct waxwing_client_budget *budget,
-				   struct waxwing_client *client);
+				   struct waxwing_budget_client *client);
 
 /** Closes each connection whose deadline has passed. */
 void waxwing_client_budget_expire(struct waxwing_client_budget *budget, int64_t now_ms);
--- a/test/test_client_budget.c
+++ b/test/test_client_budget.c
@@ -4,12 +4,12 @@
 
 struct fixture {
 	struct waxwing_client_budget *budget;
-	struct waxwing_client clients[4];
-	struct waxwing_client *closed;
+	struct waxwing_budget_client clients[4];
+	struct waxwing_budget_client *closed;
 	unsigned int close_count;
 };
 
-static void note_close(void *data, struct waxwing_client *client)
+static void note_close(void *data, struct waxwing_budget_client *client)
 {
 	struct fixture *fixture = data;
 
@@ -67,7 +67,7 @@
 /* Guards against callers that take the last connections of the balancer and the metrics. */
 static void test_classes_keep_connections(void)
 {
-	struct waxwing_client more[32] = { 0 };
+	struct waxwing_budget_client more[32] = { 0 };
 	unsigned int count = 0;
 	struct fixture f;
 
