--- a/src/cell/cell_hold.c
+++ b/src/cell/cell_hold.c
@@ -228,7 +228,8 @@
 	struct waxwing_order_target target;
 	int64_t until_ms;
 	bool may_wait = extend_leases(cell, executor, now_ms, &until_ms);
-	bool list_now; /* answer at once: a list is awaited, or ends must be listed again before their acknowledgement */
+	/* answer at once: a list is awaited, or ends must be listed again to be acknowledged */
+	bool list_now;
 	bool fresh;
 	uint32_t wait_ms = executor->unknown_runs ? UNKNOWN_RUNS_WAIT_MS : HOLD_WAIT_MS;
 	struct hold_call *call;
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -209,8 +209,7 @@
 	uint64_t last_call; /* number of the last call */
 	uint64_t last_call_at_state; /* last_call when the last state was received */
 	int64_t state_clock_ms; /* the executor's clock in the answer that shows its last state */
-	uint64_t
-		list_after_call; /* if list_wanted: it is wanted of a call that is sent after this one */
+	uint64_t list_after_call; /* if list_wanted: only a later call can show the list */
 	int64_t last_heard_ms; /* when a call of any kind was last answered */
 	uint64_t last_call_at_answer; /* last_call when the last answer was received */
 	int64_t last_hedge_ms;
@@ -301,8 +300,7 @@
 	int64_t start_sent_ms; /* 0: by a former owner */
 	bool stop_resent; /* the stop was repeated as soon as it was found to be lost */
 	bool start_lost; /* the start was not answered, and no list has shown the run since */
-	uint64_t
-		list_after_call; /* if start_lost: a list by a later call shows what became of it */
+	uint64_t list_after_call; /* if start_lost: a later call lists it if it has started */
 	int64_t list_deadline_ms; /* if there is no such list by then, it is stopped; 0: none */
 	int64_t started_ms; /* when the start was answered, or sent if not answered */
 	int64_t next_stop_ms; /* when to repeat the stop order */
--- a/src/cell/cell_run.c
+++ b/src/cell/cell_run.c
@@ -239,7 +239,7 @@
 	if (answer != WAXWING_START_UNKNOWN && answer != WAXWING_START_UNREACHABLE)
 		waxwing_answer_time_add(&cell->answer_time, now_ms, took_ms);
 	else if (answer == WAXWING_START_UNKNOWN && took_ms < WAXWING_START_TIMEOUT_MS)
-		waxwing_answer_time_add_cut(&cell->answer_time, now_ms);
+		waxwing_answer_time_add_given_up(&cell->answer_time, now_ms);
 }
 
 /* Asks for a list that shows what became of a run whose start was not answered. */
--- a/src/scheduler/answer_time.c
+++ b/src/scheduler/answer_time.c
@@ -15,7 +15,7 @@
  * If calls were given up this often, relative to answered ones, the answers have become slower than
  * the timeout. Measured shares of lost answers are about 0.06.
  */
-#define MAX_CUT_SHARE 0.2
+#define MAX_GIVEN_UP_SHARE 0.2
 
 static void start_period(struct waxwing_answer_time *times, int64_t now_ms)
 {
@@ -36,10 +36,10 @@
 	times->current.answered++;
 }
 
-void waxwing_answer_time_add_cut(struct waxwing_answer_time *times, int64_t now_ms)
+void waxwing_answer_time_add_given_up(struct waxwing_answer_time *times, int64_t now_ms)
 {
 	start_period(times, now_ms);
-	times->current.cut++;
+	times->current.given_up++;
 }
 
 int64_t waxwing_answer_time_timeout_ms(struct waxwing_answer_time *times, int64_t now_ms,
@@ -52,7 +52,7 @@
 	start_period(times, now_ms);
 	answered = times->current.answered + times->previous.answered;
 	if (answered < MIN_ANSWERS ||
-	    times->current.cut + times->previous.cut > answered * MAX_CUT_SHARE)
+	    times->current.given_up + times->previous.given_up > answered * MAX_GIVEN_UP_SHARE)
 		return longest_ms;
 	for (; quantile_ms > 0; quantile_ms--) {
 		slower += times->current.counts[quantile_ms] + times->previous.counts[quantile_ms];
--- a/src/scheduler/answer_time.h
+++ b/src/scheduler/answer_time.h
@@ -16,7 +16,7 @@
 struct waxwing_answer_period {
 	uint32_t counts[WAXWING_ANSWER_TIME_BUCKETS]; /**< by milliseconds; the last: all longer */
 	uint32_t answered;
-	uint32_t cut; /**< calls that were given up before the longest timeout */
+	uint32_t given_up; /**< calls that were given up before the longest timeout */
 };
 
 struct waxwing_answer_time {
@@ -29,7 +29,7 @@
 void waxwing_answer_time_add(struct waxwing_answer_time *times, int64_t now_ms, int64_t took_ms);
 
 /** Records a call that was given up after less than the longest timeout. */
-void waxwing_answer_time_add_cut(struct waxwing_answer_time *times, int64_t now_ms);
+void waxwing_answer_time_add_given_up(struct waxwing_answer_time *times, int64_t now_ms);
 
 /**
  * Returns how long to wait for an answer, at most @longest_ms: a multiple of a high quantile of the
--- a/test/test_answer_time.c
+++ b/test/test_answer_time.c
@@ -47,9 +47,9 @@
 	int64_t now_ms = add_answers(&times, 1000, 100, 2);
 
 	for (int i = 0; i < 20; i++)
-		waxwing_answer_time_add_cut(&times, now_ms);
+		waxwing_answer_time_add_given_up(&times, now_ms);
 	g_assert_cmpint(waxwing_answer_time_timeout_ms(&times, now_ms, LONGEST_MS), ==, 40);
-	waxwing_answer_time_add_cut(&times, now_ms);
+	waxwing_answer_time_add_given_up(&times, now_ms);
 	g_assert_cmpint(waxwing_answer_time_timeout_ms(&times, now_ms, LONGEST_MS), ==, LONGEST_MS);
 }
 
