--- a/review/standin-3/world.c
+++ b/review/standin-3/world.c
@@ -45,9 +45,9 @@
 #define IDLE_MS		 3000
 #define EXECUTOR_CPU	 16000
 /* Beginnings of the Spec of tasks that fail soon after their start, and of tasks that last. */
-#define FAILING_SPEC "failing"
-#define LASTING_SPEC "lasting"
-#define LISTEN_BACKLOG	 256
+#define FAILING_SPEC   "failing"
+#define LASTING_SPEC   "lasting"
+#define LISTEN_BACKLOG 256
 
 /* What the command line sets. */
 static struct {
@@ -66,7 +66,7 @@
 	unsigned int seed;
 	int zones;
 	int labelled; /* executors of each zone with label b */
-	const char *scenario; /* "answers", "label", "loop" or "burst" */
+	const char *scenario; /* "answers", "label", "loop", "burst" or "drain" */
 } options = {
 	.record = "record.txt",
 	.nodes = 2,
@@ -660,6 +660,7 @@
 	bool loses; /* answers */
 	char zone[4];
 	const char *kind;
+	bool draining;
 	bool gone; /* for good */
 	double gone_at;
 };
@@ -681,7 +682,8 @@
 	struct json_object *entry = json_object_new_object();
 	struct json_object *capacity = json_object_new_object();
 	struct json_object *labels = json_object_new_array();
-	char *address = g_strdup_printf("%s.%d:%d", options.net, executor_host(index), EXECUTOR_PORT);
+	char *address =
+		g_strdup_printf("%s.%d:%d", options.net, executor_host(index), EXECUTOR_PORT);
 	char *key = g_strdup_printf("servers/%s", executor->id);
 	char *rack = g_strdup_printf("r%d", index / 4);
 
@@ -690,7 +692,7 @@
 	set_text(entry, "Zone", executor->zone);
 	set_text(entry, "Version", "1");
 	set_number(entry, "Slots", 8);
-	set_text(entry, "State", "ready");
+	set_text(entry, "State", executor->draining ? "draining" : "ready");
 	set_number(entry, "Sequence", ++executor->sequence);
 	set_number(entry, "born", (uint64_t)born);
 	set_number(capacity, "Cpu", EXECUTOR_CPU);
@@ -977,8 +979,8 @@
 		answer_or_lose(connection, "/hold", 200, list_runs(executor));
 }
 
-static void handle_executor(struct connection *connection, const char *target,
-			    const char *expected, struct json_object *object)
+static void handle_executor(struct connection *connection, const char *target, const char *expected,
+			    struct json_object *object)
 {
 	struct executor *executor = &executors[connection->index];
 	uint64_t token = get_number(object, "FencingToken");
@@ -1065,8 +1067,9 @@
 	g_hash_table_insert(specs, g_strdup(job->id), g_strdup_printf("%s-%s", kind, job->id));
 	g_ptr_array_add(jobs, job);
 	if (!steps)
-		steps = g_strdup_printf("[{\"Count\":%d,\"Cpu\":4000,\"MemMb\":64,\"EstimatedMs\":%d}]",
-					options.tasks, (int)options.task_ms);
+		steps = g_strdup_printf(
+			"[{\"Count\":%d,\"Cpu\":4000,\"MemMb\":64,\"EstimatedMs\":%d}]",
+			options.tasks, (int)options.task_ms);
 	job->body = g_strdup_printf("{\"Spec\":\"%s-%s\",\"Steps\":%s}", kind, job->id, steps);
 	g_free(steps);
 	submit(job);
@@ -1139,8 +1142,8 @@
 	const char *field = strstr(head, name);
 	const char *end = field ? strstr(field, "\r\n") : NULL;
 
-	return end ? g_strstrip(g_strndup(field + strlen(name),
-					  (gsize)(end - field) - strlen(name))) :
+	return end ? g_strstrip(
+			     g_strndup(field + strlen(name), (gsize)(end - field) - strlen(name))) :
 		     NULL;
 }
 
@@ -1589,6 +1592,71 @@
 	return 1;
 }
 
+static bool was_begun(const struct job *job)
+{
+	char *task = g_strdup_printf("%s.0.0.0", job->id);
+	bool begun = begun_of(task)->len > 0;
+
+	g_free(task);
+	return begun;
+}
+
+/* --- jobs that come while an executor drains -------------------------------------------------- */
+
+#define DRAIN_MS	   3000 /* DrainMs and a little longer */
+#define DRAIN_JOB_AFTER_MS 1000
+#define DRAIN_TASKS	   2
+
+/*
+ * The only executor with label b of the first zone drains and leaves. Meanwhile, a job of two tasks that need the label
+ * is handed in there. From FINISH_MS after that, it must not have nothing running for IDLE_MS: the executors with the
+ * label in the other zones are idle.
+ */
+static int run_drain(void)
+{
+	struct executor *drained = &executors[0];
+	char *key = g_strdup_printf("servers/%s", drained->id);
+	struct job *job;
+	double handed_in;
+	double waited = 0;
+
+	options.nodes = 1; /* the client's calls go to the first node, which is in that zone */
+	options.task_ms = 1000;
+	advance_until(now() + 3000);
+	if (options.trouble) {
+		drained->draining = true;
+		beat(drained, 0);
+		note("executor drains: %s in %s, kind %s", drained->id, drained->zone,
+		     drained->kind);
+	}
+	advance_until(now() + DRAIN_JOB_AFTER_MS);
+	job = add_job(g_strdup_printf("[{\"Count\":%d,\"Cpu\":%d,\"MemMb\":64,\"EstimatedMs\":1000,"
+				      "\"Requirements\":\"b\"}]",
+				      DRAIN_TASKS, LABEL_TASK_CPU));
+	handed_in = now();
+	advance_until(now() + DRAIN_MS - DRAIN_JOB_AFTER_MS);
+	if (options.trouble) {
+		store_remove(key);
+		lose_executor(drained, 0);
+	}
+	g_free(key);
+	while (now() < handed_in + options.seconds * 1000) {
+		if (!was_begun(job))
+			waited = now() - handed_in;
+		advance_until(now() + 20);
+	}
+	note("accepted %d, %s; it waited %.0f ms for its first start", job->accepted,
+	     job->state ? job->state : "not ended", waited);
+	printf("accepted %d, %s; it waited %.1f s for its first start\n", job->accepted,
+	       job->state ? job->state : "not ended", waited / 1000);
+	if (!job->accepted)
+		return 2;
+	if (waited <= FINISH_MS + IDLE_MS)
+		return 0;
+	note("BROKEN: LOST %s", job->id);
+	return 1;
+}
+
 /* --- a job whose tasks fail, beside others ----------------------------------------------------- */
 
 #define LOOP_TASKS	4
@@ -1604,15 +1672,6 @@
 			       count, LOOP_TASK_MS, lasts ? ",\"LongRunning\":true" : "");
 }
 
-static bool was_begun(const struct job *job)
-{
-	char *task = g_strdup_printf("%s.0.0.0", job->id);
-	bool begun = begun_of(task)->len > 0;
-
-	g_free(task);
-	return begun;
-}
-
 /*
  * Hands in LASTING_JOBS lasting jobs that need label b, and short ones that need none. The tasks of one lasting
  * job fail soon after each start.
@@ -1664,8 +1723,8 @@
 		advance_until(now() + 20);
 	}
 	accepted = sound[0]->accepted + sound[1]->accepted;
-	note("accepted %d of 2; the lasting job waited %.0f ms for its first start, the short one %.0f ms", accepted,
-	     waited[0], waited[1]);
+	note("accepted %d of 2; the lasting job waited %.0f ms for its first start, the short one %.0f ms",
+	     accepted, waited[0], waited[1]);
 	printf("accepted %d of 2; the lasting job waited %.1f s for its first start, the short one %.1f s\n",
 	       accepted, waited[0] / 1000, waited[1] / 1000);
 	if (accepted < 2)
@@ -1698,9 +1757,10 @@
 	options.nodes = 1; /* the clients' calls go to the first node, which is in their zone */
 	advance_until(now() + 3000);
 	for (int i = 0; i < count; i++) {
-		add_job_of(LASTING_SPEC, g_strdup_printf("[{\"Count\":1,\"Cpu\":%d,\"MemMb\":64,"
-							 "\"EstimatedMs\":1000,\"LongRunning\":true}]",
-							 ZONE_TASK_CPU));
+		add_job_of(LASTING_SPEC,
+			   g_strdup_printf("[{\"Count\":1,\"Cpu\":%d,\"MemMb\":64,"
+					   "\"EstimatedMs\":1000,\"LongRunning\":true}]",
+					   ZONE_TASK_CPU));
 		advance_until(now() + ZONE_JOB_GAP_MS);
 	}
 	traffic_end = now();
@@ -1716,8 +1776,8 @@
 		longest = now() - traffic_end;
 		note("BROKEN: LOST %s was accepted and nothing of it has run", job->id);
 	}
-	note("accepted %d of %d; %d of them have had nothing running for %.0f ms after the traffic", accepted, count,
-	     lying, longest);
+	note("accepted %d of %d; %d of them have had nothing running for %.0f ms after the traffic",
+	     accepted, count, lying, longest);
 	printf("accepted %d of %d lasting jobs; %d of them have had nothing running for %.1f s after the traffic\n",
 	       accepted, count, lying, longest / 1000);
 	if (!accepted)
@@ -1800,12 +1860,13 @@
 		{ "zones", 'z', "N", 0, "number of zones", 0 },
 		{ "tasks", 'k', "N", 0, "tasks of a job", 0 },
 		{ "labelled", 'l', "N", 0, "executors of each zone with label b", 0 },
-		{ "scenario", 'c', "NAME", 0, "answers, label, loop or burst", 0 },
+		{ "scenario", 'c', "NAME", 0, "answers, label, loop, burst or drain", 0 },
 		{ 0 },
 	};
-	static const struct argp argp = { argp_options, parse_option, NULL,
-					  "Stand-ins for the scripts of this review.",
-					  NULL,		NULL,	      NULL };
+	static const struct argp argp = { argp_options, parse_option,
+					  NULL,		"Stand-ins for the scripts of this review.",
+					  NULL,		NULL,
+					  NULL };
 	int status;
 
 	argp_parse(&argp, argc, argv, 0, NULL, NULL);
@@ -1844,6 +1905,8 @@
 	}
 	if (strcmp(options.scenario, "label") == 0) {
 		status = run_label();
+	} else if (strcmp(options.scenario, "drain") == 0) {
+		status = run_drain();
 	} else if (strcmp(options.scenario, "burst") == 0) {
 		status = run_burst();
 	} else if (strcmp(options.scenario, "loop") == 0) {
