--- a/review/standin-3/world.c
+++ b/review/standin-3/world.c
@@ -1474,6 +1474,16 @@
 
 #define LABEL_TASK_CPU 4000
 
+/* Returns true if the first task of the job has been started. */
+static bool was_begun(const struct job *job)
+{
+	char *task = g_strdup_printf("%s.0.0.0", job->id);
+	bool begun = begun_of(task)->len > 0;
+
+	g_free(task);
+	return begun;
+}
+
 static void advance_until(double until)
 {
 	while (now() < until) {
