Cell: a start order that was carried out twice does not start its task again

Cause: libcurl sends a request again by itself when a reused connection ends before the first byte of the response. If the run had ended meanwhile, the executor refused the copy as old, and the cell took that for proof that the run had never started.

Change: - The HTTP client sends only idempotent requests again and says so in the result. For others it reports that the connection was closed; no idle connection and no new one is spent on it. - The cell repeats such a start itself, once, on a new connection, if the run may still start. After that, a refusal is handled as no answer: a list, then a stop, decide. - A refusal as old waits for a list in any case.

With the former handling of old restored, /cell/resend/ended_before_answer and /node_closed_connections/durable fail; with that of the other refusals, /node_closed_connections/best_effort. The soak's relay closes connections, too.

--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -77,7 +77,10 @@
 enum waxwing_start_answer {
 	WAXWING_START_RUNNING, /**< the run is running, or ran before this answer */
 	WAXWING_START_NO_CAPACITY,
-	/** This run, or a later one of the task, was stopped or has ended on the executor. */
+	/**
+	 * This run, or a later one of the task, was stopped or has ended on the executor. Also the
+	 * answer to a repeated order whose run has ended meanwhile.
+	 */
 	WAXWING_START_STALE_RUN,
 	WAXWING_START_LEASE_EXPIRED, /**< the lease had already expired on the executor's clock */
 	WAXWING_START_FENCED, /**< the executor has seen a higher fencing token */
@@ -86,6 +89,11 @@
 	WAXWING_START_UNHEALTHY, /**< the executor accepts no work at present */
 	WAXWING_START_OTHER_INCARNATION, /**< another incarnation of the executor answered */
 	WAXWING_START_UNREACHABLE, /**< no connection could be made */
+	/**
+	 * The executor closed an idle connection when the order was sent on it. The order may have
+	 * been carried out; the same order may be sent again.
+	 */
+	WAXWING_START_CLOSED,
 	WAXWING_START_UNKNOWN, /**< no usable answer: the run may start now or later */
 };
 
@@ -138,6 +146,8 @@
 	const char *address;
 	uint64_t handle; /**< identifies the executor in answers */
 	uint64_t fencing_token;
+	/** connect anew: an idle connection to the executor was closed by it */
+	bool new_connection;
 };
 
 /**
@@ -421,6 +431,7 @@
 	uint32_t wait_ms; /**< expected wait of a task that arrives now */
 	uint64_t starts;
 	uint64_t starts_unanswered; /**< start orders whose outcome is not known */
+	uint64_t starts_resent; /**< start orders repeated because their connection was closed */
 	uint64_t holds_hedged; /**< second holds, sent while the first was outstanding */
 	uint64_t hedges_answered; /**< second holds that were answered before the first */
 	uint64_t starts_confirmed; /**< unanswered starts whose run was then listed as running */
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -261,11 +261,10 @@
 	return run;
 }
 
-void run_send_start(struct waxwing_cell *cell, struct cell_run *run, int64_t now_ms)
+static void send_start_order(struct waxwing_cell *cell, struct cell_run *run, int64_t now_ms)
 {
 	struct cell_job *job = run->job;
 	struct executor *executor = run->executor;
-	struct task *task = run_task(run);
 	struct waxwing_run_order order = {
 		.run_id = run->id,
 		.spec = job->spec->spec,
@@ -275,6 +274,17 @@
 	};
 	struct waxwing_order_target target;
 
+	executor_target(cell, executor, &target);
+	target.new_connection = run->start_resent;
+	cell->options.ops->start(cell->options.data, &target, &order);
+}
+
+void run_send_start(struct waxwing_cell *cell, struct cell_run *run, int64_t now_ms)
+{
+	struct cell_job *job = run->job;
+	struct executor *executor = run->executor;
+	struct task *task = run_task(run);
+
 	if (job->steps[run->id.step].spec->target_ms)
 		backfill_preempt(cell, executor, now_ms);
 	if (!job->started)
@@ -289,8 +299,30 @@
 		      (unsigned long long)job->id, run->id.step, run->id.index, run->id.run,
 		      executor->id, (int)(executor->speed.value * 100),
 		      (long long)(job->due_ms - now_ms), g_sequence_get_length(cell->ready_jobs));
-	executor_target(cell, executor, &target);
-	cell->options.ops->start(cell->options.data, &target, &order);
+	send_start_order(cell, run, now_ms);
+}
+
+bool run_resend_start(struct waxwing_cell *cell, struct cell_run *run, int64_t now_ms)
+{
+	const struct executor *executor = run->executor;
+
+	if (run->start_resent || run->state != RUN_STARTING || !run->job || run->job->ended)
+		return false;
+	/* an executor that has restarted does not know the token of another owner */
+	if (!cell_is_owned(cell, now_ms))
+		return false;
+	if (executor->draining || executor->removed || executor->unresponsive ||
+	    !evacuation_allows_starts(cell, now_ms) ||
+	    !permits_allow(run->job, run->id.step, executor))
+		return false;
+	run->start_resent = true;
+	run->start_sent_ms = now_ms;
+	cell->starts_resent++;
+	waxwing_event("start_resent", "job=%016llx step=%u index=%u run=%u executor=%s",
+		      (unsigned long long)run->id.job, run->id.step, run->id.index, run->id.run,
+		      executor->id);
+	send_start_order(cell, run, now_ms);
+	return true;
 }
 
 /* Picks the rack where most of the step's tasks fit now. */
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -299,6 +299,11 @@
 	bool start_unconfirmed;
 	int64_t start_sent_ms; /* 0: by a former owner */
 	bool stop_resent; /* the stop was repeated as soon as it was found to be lost */
+	/*
+	 * the start was sent twice; the first order may have been carried out, or may be carried
+	 * out later
+	 */
+	bool start_resent;
 	bool start_lost; /* the start was not answered, and no list has shown the run since */
 	uint64_t list_after_call; /* if start_lost: a later call lists it if it has started */
 	int64_t list_deadline_ms; /* if there is no such list by then, it is stopped; 0: none */
@@ -369,6 +374,7 @@
 	struct waxwing_histogram start_wait_ms; /* from a job's arrival to its first start */
 	uint64_t starts;
 	uint64_t starts_unanswered;
+	uint64_t starts_resent;
 	uint64_t holds_hedged;
 	uint64_t hedges_answered;
 	uint64_t starts_confirmed;
@@ -603,6 +609,11 @@
 			      uint32_t index, uint32_t number, struct executor *executor,
 			      int64_t now_ms);
 void run_send_start(struct waxwing_cell *cell, struct cell_run *run, int64_t now_ms);
+/*
+ * Repeats the start order of a run whose first order may or may not have been carried out. Returns
+ * false if it was repeated before, or if the run must not start any more.
+ */
+bool run_resend_start(struct waxwing_cell *cell, struct cell_run *run, int64_t now_ms);
 uint32_t reserve_executor(struct waxwing_cell *cell, const struct cell_job *job, uint32_t step,
 			  int64_t now_ms);
 uint32_t count_fitting_tasks(const struct waxwing_capacity *available,
--- a/src/cell/cell_run.c
+++ b/src/cell/cell_run.c
@@ -229,6 +229,13 @@
 		requeue_task(cell, job, step, index);
 }
 
+/* Returns true if the executor has received the order and answered it. */
+static bool is_answer(enum waxwing_start_answer answer)
+{
+	return answer != WAXWING_START_UNKNOWN && answer != WAXWING_START_UNREACHABLE &&
+	       answer != WAXWING_START_CLOSED;
+}
+
 static void learn_answer_time(struct waxwing_cell *cell, const struct cell_run *run, int64_t now_ms,
 			      enum waxwing_start_answer answer)
 {
@@ -236,7 +243,7 @@
 
 	if (!run->start_sent_ms)
 		return;
-	if (answer != WAXWING_START_UNKNOWN && answer != WAXWING_START_UNREACHABLE)
+	if (is_answer(answer))
 		waxwing_answer_time_add(&cell->answer_time, now_ms, took_ms);
 	else if (answer == WAXWING_START_UNKNOWN && took_ms < WAXWING_START_TIMEOUT_MS)
 		waxwing_answer_time_add_given_up(&cell->answer_time, now_ms);
@@ -253,6 +260,33 @@
 	executor->hold_requested = true;
 }
 
+/* Expects the end of a run which its executor stops, or has already ended, and then never starts. */
+static void await_end(const struct waxwing_cell *cell, struct cell_run *run, int64_t now_ms)
+{
+	run->stop_deadline_ms = now_ms + cell->options.stop_ms + REMOTE_TIME_MARGIN_MS;
+	if (run->start_lost)
+		ask_for_list(run);
+	run->executor->hold_requested = true;
+}
+
+/*
+ * The run is not running and will not start, but it may have run: its order may have been carried
+ * out before, and its end is then listed.
+ */
+static void handle_stale_start(const struct waxwing_cell *cell, struct cell_run *run,
+			       int64_t now_ms)
+{
+	waxwing_event("start_stale", "job=%016llx step=%u index=%u run=%u executor=%s resent=%d",
+		      (unsigned long long)run->id.job, run->id.step, run->id.index, run->id.run,
+		      run->executor->id, run->start_resent);
+	if (run->job)
+		run_task(run)->last_run += STALE_RUN_INCREMENT;
+	run->state = RUN_STOPPING;
+	run->start_lost = true;
+	run->list_deadline_ms = 0;
+	await_end(cell, run, now_ms);
+}
+
 /*
  * The run may have started, or may start later. It is stopped unless a list shows that it runs. The
  * members of a gang are all stopped at once.
@@ -285,6 +319,19 @@
 	ask_for_list(run);
 }
 
+/*
+ * The executor refused the start order. This shows that the run did not start, unless the order was
+ * sent twice.
+ */
+static void handle_refused_start(struct waxwing_cell *cell, struct cell_run *run, int64_t now_ms,
+				 const char *why, bool gang)
+{
+	if (run->start_resent)
+		handle_lost_start(cell, run, now_ms, gang);
+	else
+		discard_unstarted(cell, run, why);
+}
+
 void waxwing_cell_start_answered(struct waxwing_cell *cell, int64_t now_ms, uint64_t handle,
 				 const struct waxwing_run_id *id, enum waxwing_start_answer answer,
 				 int64_t clock_ms)
@@ -296,12 +343,14 @@
 	if (!executor)
 		return;
 	executor_set_clock(executor, now_ms, clock_ms);
-	if (answer != WAXWING_START_UNKNOWN && answer != WAXWING_START_UNREACHABLE)
+	if (is_answer(answer))
 		executor->last_heard_ms = now_ms;
 	if (run)
 		learn_answer_time(cell, run, now_ms, answer);
 	if (!run || (run->state != RUN_STARTING && run->state != RUN_STOPPING))
 		return;
+	if (answer == WAXWING_START_CLOSED && run_resend_start(cell, run, now_ms))
+		return;
 	if (run->job && !run->job->ended && run->job->steps[id->step].spec->gang &&
 	    answer != WAXWING_START_RUNNING)
 		gang_of = run->job;
@@ -317,20 +366,18 @@
 	case WAXWING_START_NO_CAPACITY:
 		executor->backoff_until_ms = now_ms + EXECUTOR_BACKOFF_MS;
 		executor->hold_requested = true;
-		discard_unstarted(cell, run, "room");
+		handle_refused_start(cell, run, now_ms, "room", gang_of != NULL);
 		break;
 	case WAXWING_START_STALE_RUN:
-		if (run->job)
-			run_task(run)->last_run += STALE_RUN_INCREMENT;
-		discard_unstarted(cell, run, "old");
+		handle_stale_start(cell, run, now_ms);
 		break;
 	case WAXWING_START_LEASE_EXPIRED:
-		discard_unstarted(cell, run, "late");
+		handle_refused_start(cell, run, now_ms, "late", gang_of != NULL);
 		break;
 	case WAXWING_START_NO_TICKET:
 		if (run->job)
 			permits_drop(run->job, run->id.step, executor);
-		discard_unstarted(cell, run, "ticket");
+		handle_refused_start(cell, run, now_ms, "ticket", gang_of != NULL);
 		break;
 	case WAXWING_START_FENCED:
 		cell->options.ops->fenced(cell->options.data, executor->id);
@@ -339,8 +386,9 @@
 	case WAXWING_START_UNHEALTHY:
 		executor_add_failure(cell, executor, now_ms, START_FAILURE_WEIGHT);
 		executor->backoff_until_ms = now_ms + EXECUTOR_BACKOFF_MS;
-		discard_unstarted(cell, run,
-				  answer == WAXWING_START_REJECTED ? "rejected" : "unhealthy");
+		handle_refused_start(cell, run, now_ms,
+				     answer == WAXWING_START_REJECTED ? "rejected" : "unhealthy",
+				     gang_of != NULL);
 		break;
 	case WAXWING_START_OTHER_INCARNATION:
 		executor->removed = true;
@@ -350,8 +398,9 @@
 		executor_add_failure(cell, executor, now_ms, START_FAILURE_WEIGHT);
 		executor->backoff_until_ms = now_ms + EXECUTOR_BACKOFF_MS;
 		executor->hold_requested = true;
-		discard_unstarted(cell, run, "unreachable");
+		handle_refused_start(cell, run, now_ms, "unreachable", gang_of != NULL);
 		break;
+	case WAXWING_START_CLOSED:
 	case WAXWING_START_UNKNOWN:
 		handle_lost_start(cell, run, now_ms, gang_of != NULL);
 		break;
@@ -386,10 +435,7 @@
 	 */
 	run->start_unconfirmed = false;
 	run->started_ms = now_ms + cell->options.stop_ms;
-	run->stop_deadline_ms = now_ms + cell->options.stop_ms + REMOTE_TIME_MARGIN_MS;
-	if (run->start_lost)
-		ask_for_list(run);
-	executor->hold_requested = true;
+	await_end(cell, run, now_ms);
 }
 
 /* Detaches a run from its task. The run keeps its allocation until the executor lists its end. */
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -18,6 +18,11 @@
 	WAXWING_HTTP_TIMEOUT, /**< the answer was not complete in time */
 	WAXWING_HTTP_TOO_LARGE, /**< the answer is longer than max_answer_bytes */
 	WAXWING_HTTP_BROKEN, /**< the connection failed, or the answer's end is not delimited */
+	/**
+	 * A reused connection was closed before any part of the answer arrived; the request may have
+	 * been carried out. Connections of this client are not reused.
+	 */
+	WAXWING_HTTP_CLOSED,
 };
 
 struct waxwing_http_call {
--- a/src/net/http_calls.c
+++ b/src/net/http_calls.c
@@ -1,10 +1,12 @@
 #include "http_calls.h"
 
 #define LOG_COMPONENT "http-calls"
+#include "event_log.h"
 #include "log.h"
 
 #include <curl/curl.h>
 #include <glib.h>
+#include <sys/socket.h>
 
 /* Receive buffer of a call; small, because most responses are short. */
 #define RECEIVE_BUFFER_BYTES 8192
@@ -40,6 +42,9 @@
 	char *request_body;
 	uint64_t deadline_ms; /* loop time at which the call has stalled */
 	uint32_t stall_timeout_ms; /* 0: libcurl's timeout applies */
+	bool idempotent;
+	uint32_t sends; /* how often the request was sent, completely or in part */
+	bool resend_rejected; /* libcurl was about to send a request again that is not idempotent */
 	void (*done)(void *data, const struct waxwing_http_call_result *result);
 	void *data;
 };
@@ -72,14 +77,73 @@
 	return size * count;
 }
 
-static enum waxwing_http_result curl_code_to_http_end(CURL *handle, CURLcode code)
+/*
+ * libcurl sends a request again if a reused connection is closed before any part of the response
+ * arrives. Rejects this for a request that is not idempotent.
+ */
+static bool may_send(struct http_call *call)
+{
+	if (!call->sends || call->idempotent)
+		return true;
+	call->resend_rejected = true;
+	return false;
+}
+
+/* Called by libcurl before it sends a request. */
+static int before_request(void *user, char *remote_ip, char *local_ip, int remote_port,
+			  int local_port)
+{
+	struct http_call *call = user;
+
+	(void)local_ip;
+	(void)local_port;
+	if (!may_send(call))
+		return CURL_PREREQFUNC_ABORT;
+	/*
+	 * This request has its connection. If libcurl wants to send it again, open_socket() rejects
+	 * that; an idle connection would be closed by the rejection.
+	 */
+	if (!call->idempotent)
+		curl_easy_setopt(call->handle, CURLOPT_FRESH_CONNECT, 1L);
+	if (call->sends++)
+		waxwing_event("request_resent", "address=%s:%d sends=%u", remote_ip, remote_port,
+			      call->sends);
+	return CURL_PREREQFUNC_OK;
+}
+
+/* Called by libcurl before it connects. */
+static curl_socket_t open_socket(void *user, curlsocktype purpose, struct curl_sockaddr *address)
+{
+	(void)purpose;
+	if (!may_send(user))
+		return CURL_SOCKET_BAD;
+	return socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+}
+
+/* Returns true if a reused connection was closed before any part of the response arrived. */
+static bool was_closed(const struct http_call *call, CURLcode code)
+{
+	long new_connections = 0;
+	long header_bytes = 0;
+
+	if (call->resend_rejected)
+		return true;
+	curl_easy_getinfo(call->handle, CURLINFO_NUM_CONNECTS, &new_connections);
+	curl_easy_getinfo(call->handle, CURLINFO_HEADER_SIZE, &header_bytes);
+	return !new_connections && !header_bytes &&
+	       (code == CURLE_SEND_ERROR || code == CURLE_RECV_ERROR);
+}
+
+static enum waxwing_http_result get_http_end(const struct http_call *call, CURLcode code)
 {
 	long sent = 0;
 
 	if (code == CURLE_OK)
 		return WAXWING_HTTP_COMPLETE;
-	curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &sent);
-	if (sent == 0)
+	if (was_closed(call, code))
+		return WAXWING_HTTP_CLOSED;
+	curl_easy_getinfo(call->handle, CURLINFO_REQUEST_SIZE, &sent);
+	if (call->sends <= 1 && sent == 0)
 		return WAXWING_HTTP_UNREACHABLE;
 	if (code == CURLE_OPERATION_TIMEDOUT)
 		return WAXWING_HTTP_TIMEOUT;
@@ -96,11 +160,13 @@
 
 static void finish_call(struct waxwing_http_calls *calls, CURL *handle, CURLcode code)
 {
-	struct waxwing_http_call_result result = { .end = curl_code_to_http_end(handle, code) };
+	struct waxwing_http_call_result result = { 0 };
 	struct http_call *call;
 	long status = 0;
 
 	curl_easy_getinfo(handle, CURLINFO_PRIVATE, (char **)&call);
+	result.end = get_http_end(call, code);
+	result.resent = call->sends > 1;
 	curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
 	if (result.end == WAXWING_HTTP_COMPLETE) {
 		result.status = (unsigned int)status;
@@ -288,6 +354,7 @@
 	call->calls = calls;
 	call->done = options->done;
 	call->data = options->data;
+	call->idempotent = options->idempotent;
 	call->response = g_string_new(NULL);
 	call->request_body = g_strndup(options->body.data, options->body.len);
 	handle = calls->idle_handles->len ?
@@ -314,6 +381,11 @@
 	curl_easy_setopt(handle, CURLOPT_PRIVATE, call);
 	curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, append_response);
 	curl_easy_setopt(handle, CURLOPT_WRITEDATA, call);
+	curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, before_request);
+	curl_easy_setopt(handle, CURLOPT_PREREQDATA, call);
+	curl_easy_setopt(handle, CURLOPT_OPENSOCKETFUNCTION, open_socket);
+	curl_easy_setopt(handle, CURLOPT_OPENSOCKETDATA, call);
+	curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, options->new_connection ? 1L : 0L);
 	curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(handle, CURLOPT_PROXY, "");
 	curl_easy_setopt(handle, CURLOPT_BUFFERSIZE, (long)RECEIVE_BUFFER_BYTES);
--- a/src/net/http_calls.h
+++ b/src/net/http_calls.h
@@ -1,8 +1,11 @@
 /**
  * Asynchronous HTTP client with persistent connections, on one libuv loop.
  *
- * libcurl resends a request by itself when a reused connection is closed before the first byte of
- * the response, so requests must be idempotent. Not thread-safe; use it on the loop's thread only.
+ * A server may close an idle connection while a request is on its way. The request may then have
+ * been carried out, or not. Idempotent requests are sent again on another connection; calls with
+ * other requests end with WAXWING_HTTP_CLOSED.
+ *
+ * Not thread-safe; use it on the loop's thread only.
  */
 #ifndef WAXWING_HTTP_CALLS_H
 #define WAXWING_HTTP_CALLS_H
@@ -10,6 +13,7 @@
 #include "http_client.h"
 #include "str.h"
 
+#include <stdbool.h>
 #include <stdint.h>
 #include <uv.h>
 
@@ -22,6 +26,11 @@
 	enum waxwing_http_result end;
 	unsigned int status; /**< HTTP status code; 0 without a complete response */
 	struct waxwing_str body; /**< valid during the callback only */
+	/**
+	 * The request was sent more than once. The response is that to the last copy; an earlier one
+	 * may have been carried out before, or may be carried out later.
+	 */
+	bool resent;
 };
 
 struct waxwing_http_call_options {
@@ -30,6 +39,8 @@
 	const char *target; /**< path and query, percent-encoded */
 	struct waxwing_str body; /**< JSON, copied; sent only when not empty */
 	const char *headers[WAXWING_HTTP_CALL_MAX_HEADERS]; /**< "Name: value"; null: none */
+	bool idempotent; /**< the request may be sent again after its connection was closed */
+	bool new_connection; /**< do not use an idle connection */
 	uint32_t connect_timeout_ms; /**< for establishing the connection */
 	uint32_t timeout_ms; /**< for the whole call, including the connection */
 	/**
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -363,6 +363,7 @@
 				       "waxwing_cell_runs{cell=\"%s\"} %u\n"
 				       "waxwing_cell_starts_total{cell=\"%s\"} %llu\n"
 				       "waxwing_cell_starts_unanswered_total{cell=\"%s\"} %llu\n"
+				       "waxwing_cell_starts_resent_total{cell=\"%s\"} %llu\n"
 				       "waxwing_cell_holds_hedged_total{cell=\"%s\"} %llu\n"
 				       "waxwing_cell_hedges_answered_total{cell=\"%s\"} %llu\n"
 				       "waxwing_cell_starts_confirmed_total{cell=\"%s\"} %llu\n"
@@ -378,6 +379,7 @@
 				       cell->name, stats.runs, cell->name,
 				       (unsigned long long)stats.starts, cell->name,
 				       (unsigned long long)stats.starts_unanswered, cell->name,
+				       (unsigned long long)stats.starts_resent, cell->name,
 				       (unsigned long long)stats.holds_hedged, cell->name,
 				       (unsigned long long)stats.hedges_answered, cell->name,
 				       (unsigned long long)stats.starts_confirmed, cell->name,
--- a/test/cell_fixture.h
+++ b/test/cell_fixture.h
@@ -43,6 +43,7 @@
 	char executor[16];
 	char checkpoint[16];
 	char ticket[16];
+	bool new_connection;
 };
 
 struct verdict {
@@ -56,7 +57,10 @@
 			 const struct waxwing_run_order *order)
 {
 	struct recorder *recorder = data;
-	struct start start = { order->run_id, target->handle, order->lease_expiry_ms, "", "", "" };
+	struct start start = { .run_id = order->run_id,
+			       .handle = target->handle,
+			       .lease_expiry_ms = order->lease_expiry_ms,
+			       .new_connection = target->new_connection };
 
 	if (order->checkpoint)
 		g_strlcpy(start.checkpoint, order->checkpoint, sizeof(start.checkpoint));
--- a/test/node_sim_executors.h
+++ b/test/node_sim_executors.h
@@ -7,6 +7,12 @@
 
 /* Largest delay of an answer that is slow but not given up. */
 #define MAX_SLOW_ANSWER_MS 300
+/* Of the calls whose connection is closed first, those that are carried out nevertheless. */
+#define LATE_COPY_SHARE 0.3
+/* Longest delay of these calls. */
+#define MAX_LATE_COPY_MS 400
+/* Longest time from a call to the end of its connection; runs may end in it. */
+#define MAX_CLOSE_DELAY_MS 60
 
 enum executor_order_kind {
 	EXECUTOR_START,
@@ -97,6 +103,26 @@
 	       zones_connected(sim, sim->hosts[call->host_index].zone, executor->zone);
 }
 
+/* Closes the connection of a call instead of answering it, before the call is given up. */
+static void close_call(struct executor_call *call)
+{
+	int32_t max_delay_ms = MIN(MAX_CLOSE_DELAY_MS, (int32_t)call->timeout_ms);
+
+	call->start_answer = WAXWING_START_CLOSED;
+	call->clock_ms = 0;
+	sim_schedule(call->sim, g_rand_int_range(call->sim->random, NETWORK_DELAY_MS, max_delay_ms),
+		     executor_deliver_answer, call);
+}
+
+static bool is_to_be_closed(const struct executor_call *call)
+{
+	struct cluster_sim *sim = call->sim;
+
+	/* no numbers are drawn in tests without closed connections, so that their seeds still hold */
+	return sim->closed_call_share > 0 && call->kind == EXECUTOR_START &&
+	       sim_chance(sim, sim->closed_call_share);
+}
+
 static void executor_answer(struct executor_call *call)
 {
 	struct cluster_sim *sim = call->sim;
@@ -123,6 +149,10 @@
 		sim_schedule(sim, call->timeout_ms, executor_deliver_answer, call);
 		return;
 	}
+	if (is_to_be_closed(call)) {
+		close_call(call);
+		return;
+	}
 	/* less than the caller's timeout; other answers may overtake it */
 	if (call->kind == EXECUTOR_HOLD && sim_chance(sim, sim->slow_answer_share))
 		delay_ms += g_rand_int_range(sim->random, 5, MAX_SLOW_ANSWER_MS);
@@ -294,6 +324,8 @@
 	if (call->token < executor->token)
 		return WAXWING_START_FENCED;
 	executor->token = call->token;
+	if (sim->refused_start_share > 0 && sim_chance(sim, sim->refused_start_share))
+		return WAXWING_START_UNHEALTHY;
 	if (call->until_ms <= executor_clock(sim, executor))
 		return WAXWING_START_LEASE_EXPIRED;
 	for (guint i = 0; i < executor->runs->len; i++)
@@ -479,6 +511,21 @@
 	sim_schedule(sim, call->timeout_ms, executor_deliver_answer, call);
 }
 
+/* The connection is closed before the order is carried out, which may still happen later. */
+static void close_before_arrival(struct executor_call *call)
+{
+	struct cluster_sim *sim = call->sim;
+	struct executor_call *late;
+
+	if (sim_chance(sim, LATE_COPY_SHARE)) {
+		late = g_memdup2(call, sizeof(*call));
+		late->delivered_late = true;
+		sim_schedule(sim, g_rand_int_range(sim->random, 1, MAX_LATE_COPY_MS),
+			     executor_call_arrived, late);
+	}
+	close_call(call);
+}
+
 static struct executor_call *executor_call(struct waxwing_executors *executors,
 					   enum executor_order_kind kind,
 					   const struct waxwing_order_target *target,
@@ -507,6 +554,8 @@
 		delay_order(call, 2000 + (int64_t)(g_rand_double(sim->random) * 8000));
 	else if (sim_chance(sim, sim->delayed_order_share))
 		delay_order(call, g_rand_int_range(sim->random, 150, 950));
+	else if (is_to_be_closed(call))
+		close_before_arrival(call);
 	else
 		sim_schedule(call->sim, NETWORK_DELAY_MS, executor_call_arrived, call);
 }
--- a/test/scripts/node_soak.sh
+++ b/test/scripts/node_soak.sh
@@ -167,7 +167,7 @@
 	draw_random $NODES
 	target=$((1 + RANDOM_VALUE))
 	draw_pause 300 2400
-	draw_random 10
+	draw_random 12
 	echo "fault $RANDOM_VALUE at $target for $PAUSE s" >>"$WORK/faults"
 	case $RANDOM_VALUE in
 	0) stop_node $target KILL ;;
@@ -178,6 +178,7 @@
 	5) in_background link_fails "x$target" mode=hang "$PAUSE" ;;
 	6) in_background link_fails "x$target" "mode=open&delay_ms=120" "$PAUSE" ;;
 	7) curl -s -o /dev/null -X DELETE "http://$STORE/control/key?Key=cells/$(zone_of $target)" ;;
+	10 | 11) in_background link_fails "x$target" "mode=open&close_every=6&close_after_ms=20" "$PAUSE" ;;
 	8 | 9) in_background unlist_and_stop $target "$PAUSE" ;;
 	esac
 }
--- a/test/standin/relay.c
+++ b/test/standin/relay.c
@@ -5,7 +5,8 @@
  * rule for connections from that address, or without "from" for those that no other rule matches.
  * mode=open forwards bytes, mode=hang keeps old and new connections open without forwarding until
  * the mode changes, mode=reset resets them. delay_ms=N delays each byte, bytes_per_s=N limits each
- * direction of a connection. Defaults are mode=open without delay or limit.
+ * direction of a connection. close_every=N drops every Nth part that a target of the link sends, and
+ * closes that connection close_after_ms=N later. Defaults are mode=open and none of these.
  */
 #include "server.h"
 
@@ -28,6 +29,8 @@
 	enum link_mode mode;
 	int64_t delay_ms;
 	int64_t bytes_per_s; /**< 0: unlimited */
+	int64_t close_every; /**< 0: never */
+	int64_t close_after_ms;
 };
 
 struct relay_link {
@@ -35,6 +38,7 @@
 	struct sockaddr_in target;
 	int listener;
 	GHashTable *rules; /**< source IP, "" for the default, to struct link_rule */
+	int64_t parts_sent; /**< by the target */
 };
 
 struct chunk {
@@ -52,10 +56,11 @@
 };
 
 struct relay_connection {
-	const struct relay_link *link;
+	struct relay_link *link;
 	char source[INET_ADDRSTRLEN];
 	int fds[2]; /**< sockets of client and target; the target's is -1 until connected */
 	struct flow flows[2]; /**< by index of the socket that is read */
+	int64_t closes_ms; /**< when it will be closed; 0: not planned */
 	bool failed; /**< has to be closed */
 };
 
@@ -130,7 +135,10 @@
 	const char *source = server_query_argument(request, "from");
 	const char *mode = server_query_argument(request, "mode");
 	struct link_rule rule = { .delay_ms = server_query_number(request, "delay_ms", 0),
-				  .bytes_per_s = server_query_number(request, "bytes_per_s", 0) };
+				  .bytes_per_s = server_query_number(request, "bytes_per_s", 0),
+				  .close_every = server_query_number(request, "close_every", 0),
+				  .close_after_ms =
+					  server_query_number(request, "close_after_ms", 0) };
 	unsigned int found = 0;
 
 	for (unsigned int i = 0; mode && i < G_N_ELEMENTS(modes); i++)
@@ -182,7 +190,7 @@
 	connection->failed = true;
 }
 
-static void accept_connection(struct relay *relay, const struct relay_link *link)
+static void accept_connection(struct relay *relay, struct relay_link *link)
 {
 	struct sockaddr_in source;
 	socklen_t len = sizeof(source);
@@ -222,7 +230,10 @@
 	struct chunk *chunk = g_new(struct chunk, 1);
 	ssize_t len = read(connection->fds[side], chunk->data, sizeof(chunk->data));
 
-	if (len > 0) {
+	if (len > 0 && side == 1 && rule->close_every &&
+	    ++connection->link->parts_sent % rule->close_every == 0)
+		connection->closes_ms = now_ms + rule->close_after_ms;
+	if (len > 0 && !connection->closes_ms) {
 		chunk->len = (size_t)len;
 		chunk->sent = 0;
 		chunk->due_ms = now_ms + rule->delay_ms;
@@ -232,7 +243,7 @@
 	g_free(chunk);
 	if (len == 0)
 		flow->eof = true;
-	else if (errno != EAGAIN)
+	else if (len < 0 && errno != EAGAIN)
 		connection_reset(connection);
 }
 
@@ -290,7 +301,10 @@
 			flow_read(connection, side, rule, now_ms);
 		next_ms = MIN(next_ms, flow_write(connection, side, rule, now_ms));
 	}
-	return next_ms;
+	if (!connection->closes_ms)
+		return next_ms;
+	connection->failed |= now_ms >= connection->closes_ms;
+	return MIN(next_ms, connection->closes_ms);
 }
 
 static int64_t run_connections(struct relay *relay, int64_t now_ms)
--- a/test/test_fuzz.c
+++ b/test/test_fuzz.c
@@ -218,7 +218,9 @@
 
 static void decode_hold(struct waxwing_str input)
 {
-	struct waxwing_http_call_result result = { WAXWING_HTTP_COMPLETE, 200, input };
+	struct waxwing_http_call_result result = { .end = WAXWING_HTTP_COMPLETE,
+						   .status = 200,
+						   .body = input };
 
 	executor_http_read_hold(&result, use_hold, NULL);
 }
@@ -239,7 +241,9 @@
 
 static void decode_store_answer(struct waxwing_str input)
 {
-	struct waxwing_http_call_result result = { WAXWING_HTTP_COMPLETE, 200, input };
+	struct waxwing_http_call_result result = { .end = WAXWING_HTTP_COMPLETE,
+						   .status = 200,
+						   .body = input };
 	struct waxwing_store_callback callback = { use_store_answer, NULL };
 
 	store_kv_read_answer(&result, "items", callback);
