Cell: a hold is not sent again with acknowledgements that are out of date

Cause: an owner acknowledges ends only within 30 ms after an answer that listed them, since an executor that has restarted numbers its ends from 1 again. But libcurl sent a hold again, whenever its connection was closed: up to its wait of 250 ms later, and most likely because the executor had restarted. Such a copy could acknowledge ends of the new incarnation that the owner never received.

Change: a hold whose idle connection was closed ends with WAXWING_HOLD_CLOSED. The next one is sent at once on a new connection, with acknowledgements and leases of its own. The executor stays in use.

Tests: /cell/resend/hold_closed (no delay, nothing put out of use) and /cell/resend/hold_closed_by_restart (no acknowledgement); the holds in /node_closed_connections are closed, too. They need the new result, so they don't compile on the code before.

--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -124,6 +124,7 @@
 	WAXWING_HOLD_ANSWERED,
 	WAXWING_HOLD_FENCED, /**< the executor has seen a higher fencing token */
 	WAXWING_HOLD_OTHER_INCARNATION, /**< another incarnation of the executor answered */
+	WAXWING_HOLD_CLOSED, /**< as WAXWING_START_CLOSED */
 	WAXWING_HOLD_NO_ANSWER,
 };
 
--- a/src/cell/cell_hold.c
+++ b/src/cell/cell_hold.c
@@ -243,6 +243,8 @@
 	if (fresh)
 		call->acking_upto = executor->ackable_upto;
 	executor_target(cell, executor, &target);
+	target.new_connection = executor->connection_closed;
+	executor->connection_closed = false;
 	/* numbers are not acknowledged twice: a new incarnation may have restarted at 1 */
 	cell->options.ops->hold(cell->options.data, &target, call->number, until_ms,
 				call->acking_upto > executor->acked_upto ? call->acking_upto : 0,
@@ -384,6 +386,20 @@
 	}
 }
 
+/*
+ * The executor closed an idle connection when the hold was sent on it. The next hold is a new call
+ * rather than a copy: if the executor has restarted, it must not acknowledge ends of the former
+ * incarnation.
+ */
+static void handle_closed(struct executor *executor, int64_t now_ms)
+{
+	executor->connection_closed = true;
+	executor->hold_requested = true;
+	executor->next_hold_ms = now_ms;
+	if (executor->list_wanted)
+		executor->list_after_call = executor->last_call; /* ask again */
+}
+
 static void handle_no_answer(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms,
 			     const struct hold_call *call)
 {
@@ -528,7 +544,7 @@
 	record->in_flight = false;
 	if (!answer->call)
 		sent.in_order = true;
-	if (answer->result != WAXWING_HOLD_NO_ANSWER) {
+	if (answer->result != WAXWING_HOLD_NO_ANSWER && answer->result != WAXWING_HOLD_CLOSED) {
 		if (call->in_flight)
 			learn_answer_time(cell, call, now_ms);
 		executor->last_call_at_answer = executor->last_call;
@@ -552,6 +568,9 @@
 			run_ended(cell, executor->runs->pdata[0], WAXWING_RUN_LAPSED, now_ms);
 		executor->leases_expire_ms = 0;
 		break;
+	case WAXWING_HOLD_CLOSED:
+		handle_closed(executor, now_ms);
+		break;
 	case WAXWING_HOLD_NO_ANSWER:
 		handle_no_answer(cell, executor, now_ms, call);
 		break;
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -216,6 +216,7 @@
 	int64_t last_lost_ms; /* when a call was last found to be unanswered */
 	uint32_t regular_call; /* index in calls */
 	bool list_wanted;
+	bool connection_closed; /* the last hold ended with WAXWING_HOLD_CLOSED */
 	bool hold_requested; /* a hold is needed even if nothing runs there */
 	bool answered; /* has answered a hold */
 	bool runs_listed; /* has listed its runs and ends since the journal was replayed */
--- a/test/cell_fixture.h
+++ b/test/cell_fixture.h
@@ -24,6 +24,7 @@
 	uint32_t last_wait_ms;
 	bool last_hold_extends; /* the last hold extended leases */
 	int64_t last_until_ms; /* to when, on the executor's clock; 0: not */
+	bool last_hold_connects; /* the last hold was sent on a new connection */
 	uint64_t acked_upto;
 	uint32_t fenced;
 	uint64_t recorded; /* number of journal records */
@@ -88,6 +89,7 @@
 	recorder->holds++;
 	recorder->last_hold_extends = until_ms != 0;
 	recorder->last_until_ms = until_ms;
+	recorder->last_hold_connects = target->new_connection;
 	recorder->acked_upto = acked_upto;
 }
 
--- a/test/node_sim_executors.h
+++ b/test/node_sim_executors.h
@@ -109,6 +109,7 @@
 	int32_t max_delay_ms = MIN(MAX_CLOSE_DELAY_MS, (int32_t)call->timeout_ms);
 
 	call->start_answer = WAXWING_START_CLOSED;
+	call->hold_result = WAXWING_HOLD_CLOSED;
 	call->clock_ms = 0;
 	sim_schedule(call->sim, g_rand_int_range(call->sim->random, NETWORK_DELAY_MS, max_delay_ms),
 		     executor_deliver_answer, call);
@@ -119,7 +120,7 @@
 	struct cluster_sim *sim = call->sim;
 
 	/* no numbers are drawn in tests without closed connections, so that their seeds still hold */
-	return sim->closed_call_share > 0 && call->kind == EXECUTOR_START &&
+	return sim->closed_call_share > 0 && call->kind != EXECUTOR_STOP &&
 	       sim_chance(sim, sim->closed_call_share);
 }
 
--- a/test/node_sim_types.h
+++ b/test/node_sim_types.h
@@ -246,7 +246,7 @@
 	double lost_answer_share; /* share of orders that take effect without an answer */
 	double slow_answer_share; /* of the answers to holds */
 	double refused_start_share; /* of the starts; the executor does nothing */
-	double closed_call_share; /* of the starts; their connection is closed instead */
+	double closed_call_share; /* of the starts and holds; their connection is closed instead */
 	double lost_message_share; /* share of messages between nodes that are lost */
 	int64_t store_delay_ms; /* one-way delay of the store's calls */
 	uint32_t client_patience_ms;
--- a/test/test_cell_resend.c
+++ b/test/test_cell_resend.c
@@ -6,6 +6,8 @@
 
 #define EXECUTOR_CPU 16000
 #define TICK_MS	     5
+/* Longer than an end may wait for its acknowledgement after the answer that listed it. */
+#define LONG_WAIT_MS 100
 /* The sequence of calls after a start whose outcome is not known, and the answers to them. */
 #define SETTLE_MS 200
 
@@ -58,6 +60,15 @@
 	waxwing_cell_advance(fixture->cell, fixture->now_ms);
 }
 
+static void close_hold(struct fixture *fixture, uint64_t handle)
+{
+	struct waxwing_hold_answer closed = { .result = WAXWING_HOLD_CLOSED,
+					      .call = fixture->recorder.last_call };
+
+	waxwing_cell_hold_answered(fixture->cell, fixture->now_ms, handle, &closed);
+	waxwing_cell_advance(fixture->cell, fixture->now_ms);
+}
+
 static struct waxwing_cell_stats get_stats(const struct fixture *fixture)
 {
 	struct waxwing_cell_stats stats;
@@ -231,6 +242,48 @@
 	tear_down(&fixture);
 }
 
+/* The next hold follows without delay, and the executor stays in use. */
+static void test_hold_closed(void)
+{
+	struct fixture fixture;
+	uint64_t handle = start_task(&fixture);
+	uint32_t holds;
+
+	answer_start(&fixture, 0, WAXWING_START_RUNNING);
+	holds = fixture.recorder.holds;
+	close_hold(&fixture, handle);
+	g_assert_cmpuint(fixture.recorder.holds, ==, holds + 1);
+	g_assert_true(fixture.recorder.last_hold_connects);
+	g_assert_true(fixture.recorder.last_hold_extends);
+	g_assert_cmpuint(get_stats(&fixture).usable, ==, 1);
+	list_done(&fixture, handle);
+	advance(&fixture, 2 * TICK_MS);
+	g_assert_false(fixture.recorder.last_hold_connects);
+	assert_completed(&fixture);
+	tear_down(&fixture);
+}
+
+/*
+ * Guards against ends that are lost: the connection was closed because the executor restarted, and a
+ * copy of the hold acknowledged ends of the new incarnation, which are numbered from 1 again.
+ */
+static void test_hold_closed_by_restart(void)
+{
+	struct fixture fixture;
+	uint64_t handle = start_task(&fixture);
+
+	answer_start(&fixture, 0, WAXWING_START_RUNNING);
+	list_done(&fixture, handle);
+	store_all_records(&fixture);
+	advance(&fixture, 2 * TICK_MS);
+	g_assert_cmpuint(fixture.recorder.acked_upto, ==, 1);
+	advance(&fixture, LONG_WAIT_MS);
+	close_hold(&fixture, handle);
+	g_assert_true(fixture.recorder.last_hold_connects);
+	g_assert_cmpuint(fixture.recorder.acked_upto, ==, 0);
+	tear_down(&fixture);
+}
+
 int main(int argc, char **argv)
 {
 	static const struct {
@@ -267,5 +320,7 @@
 	g_test_add_func("/cell/resend/closed_again", test_closed_again);
 	g_test_add_func("/cell/resend/cancelled", test_cancelled);
 	g_test_add_func("/cell/resend/not_owned", test_not_owned);
+	g_test_add_func("/cell/resend/hold_closed", test_hold_closed);
+	g_test_add_func("/cell/resend/hold_closed_by_restart", test_hold_closed_by_restart);
 	return g_test_run();
 }
