Store: a refused copy of a write does not say that nothing was done

Cause: as with start orders, libcurl sends a write again when its connection is closed before the response. If the store then refused the copy (429, 503), the adapter returned WAXWING_STORE_REFUSED, "nothing was done", although the first one may have taken effect.

--- a/src/node/store.h
+++ b/src/node/store.h
@@ -18,7 +18,11 @@
 /** Result of a call. */
 enum waxwing_store_status {
 	WAXWING_STORE_OK,
-	WAXWING_STORE_CONFLICT, /**< a precondition failed; nothing was changed */
+	/**
+	 * A precondition failed and nothing was changed, or an earlier copy of the call took effect
+	 * and changed what the precondition refers to.
+	 */
+	WAXWING_STORE_CONFLICT,
 	WAXWING_STORE_NOT_FOUND, /**< no such lease or key */
 	/** a watch's revision is no longer available; read the range again */
 	WAXWING_STORE_HISTORY_LOST,
--- a/test/test_platform_adapter.c
+++ b/test/test_platform_adapter.c
@@ -9,6 +9,7 @@
 #include "permits_http.h"
 #include "settings_file.h"
 #include "store_entries.h"
+#include "store_kv.h"
 
 #include <glib.h>
 
@@ -697,6 +698,39 @@
 		g_assert_true(json_within(waxwing_str(cases[i].text), 2, 3) == cases[i].within);
 }
 
+static void copy_status(void *data, const struct waxwing_store_answer *answer)
+{
+	*(enum waxwing_store_status *)data = answer->status;
+}
+
+/* Reads a response without a body as the answer to a write. */
+static enum waxwing_store_status read_status(unsigned int status, bool resent)
+{
+	struct waxwing_http_call_result result = {
+		.end = WAXWING_HTTP_COMPLETE,
+		.status = status,
+		.resent = resent,
+	};
+	enum waxwing_store_status read = WAXWING_STORE_OK;
+
+	store_kv_read_answer(&result, NULL, (struct waxwing_store_callback){ copy_status, &read });
+	return read;
+}
+
+/*
+ * Guards against a write that is taken for undone: the store refused a copy of the call, but it may
+ * have carried out the first one.
+ */
+static void test_store_refusals(void)
+{
+	g_assert_cmpint(read_status(429, false), ==, WAXWING_STORE_REFUSED);
+	g_assert_cmpint(read_status(503, false), ==, WAXWING_STORE_REFUSED);
+	g_assert_cmpint(read_status(429, true), ==, WAXWING_STORE_UNKNOWN);
+	g_assert_cmpint(read_status(503, true), ==, WAXWING_STORE_UNKNOWN);
+	g_assert_cmpint(read_status(412, true), ==, WAXWING_STORE_CONFLICT);
+	g_assert_cmpint(read_status(200, true), ==, WAXWING_STORE_OK);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -717,6 +751,7 @@
 	g_test_add_func("/platform/job_faulty", test_job_faulty);
 	g_test_add_func("/platform/job_values", test_job_values);
 	g_test_add_func("/platform/job_repeated", test_job_repeated);
+	g_test_add_func("/platform/store_refusals", test_store_refusals);
 	g_test_add_func("/platform/permits", test_permits);
 	g_test_add_func("/platform/settings_permits", test_settings_permits);
 	g_test_add_func("/platform/task_names", test_task_names);
