Cell: an owner's own newer token is not taken for another owner's

Cause: after its entry was removed and stored again, an owner goes on with a newer token. A call sent before may reach an executor after one with the newer token and is answered fence then. The owner took that for a successor and gave up the cell.

Change: starts and holds remember the token that they carried. A fence against an older one than the owner's shows only that this call had no effect.

Test: /cell/fence/own_newer_token; before, the task did not start again and the cell was given up.

--- a/src/cell/cell_hold.c
+++ b/src/cell/cell_hold.c
@@ -205,6 +205,7 @@
 		.sent_ms = now_ms,
 		.overdue_ms = now_ms + wait_ms + timeout_ms,
 		.wait_ms = wait_ms,
+		.token = cell->options.fencing_token,
 		.acking_upto = executor->acked_upto,
 	};
 	return call;
@@ -386,6 +387,15 @@
 	}
 }
 
+/* Replaces a hold that did not take effect, or may not have done so. */
+static void request_next_hold(struct executor *executor, int64_t now_ms)
+{
+	executor->hold_requested = true;
+	executor->next_hold_ms = now_ms;
+	if (executor->list_wanted)
+		executor->list_after_call = executor->last_call; /* ask again */
+}
+
 /*
  * The executor closed an idle connection when the hold was sent on it. The next hold is a new call
  * rather than a copy: if the executor has restarted, it must not acknowledge ends of the former
@@ -394,10 +404,7 @@
 static void handle_closed(struct executor *executor, int64_t now_ms)
 {
 	executor->connection_closed = true;
-	executor->hold_requested = true;
-	executor->next_hold_ms = now_ms;
-	if (executor->list_wanted)
-		executor->list_after_call = executor->last_call; /* ask again */
+	request_next_hold(executor, now_ms);
 }
 
 static void handle_no_answer(struct waxwing_cell *cell, struct executor *executor, int64_t now_ms,
@@ -557,7 +564,10 @@
 			handle_answer(cell, executor, now_ms, call, answer);
 		break;
 	case WAXWING_HOLD_FENCED:
-		cell->options.ops->fenced(cell->options.data, executor->id);
+		if (call->token < cell->options.fencing_token)
+			request_next_hold(executor, now_ms);
+		else
+			cell->options.ops->fenced(cell->options.data, executor->id);
 		break;
 	case WAXWING_HOLD_OTHER_INCARNATION:
 		/* the addressed incarnation has ended, and all its runs with it */
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -276,6 +276,7 @@
 
 	executor_target(cell, executor, &target);
 	target.new_connection = run->start_resent;
+	run->start_token = target.fencing_token;
 	cell->options.ops->start(cell->options.data, &target, &order);
 }
 
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -183,6 +183,7 @@
 	int64_t sent_ms;
 	int64_t overdue_ms; /* by then, an answer that is not lost has come */
 	uint32_t wait_ms;
+	uint64_t token; /* its fencing token */
 	uint64_t acking_upto; /* it acknowledges ends up to this number */
 	bool in_order; /* it was answered before any later call was sent */
 };
@@ -299,6 +300,7 @@
 	 */
 	bool start_unconfirmed;
 	int64_t start_sent_ms; /* 0: by a former owner */
+	uint64_t start_token; /* fencing token of the last start order */
 	bool stop_resent; /* the stop was repeated as soon as it was found to be lost */
 	/*
 	 * the start was sent twice; the first order may have been carried out, or may be carried
--- a/src/cell/cell_run.c
+++ b/src/cell/cell_run.c
@@ -380,7 +380,10 @@
 		handle_refused_start(cell, run, now_ms, "ticket", gang_of != NULL);
 		break;
 	case WAXWING_START_FENCED:
-		cell->options.ops->fenced(cell->options.data, executor->id);
+		if (run->start_token < cell->options.fencing_token)
+			handle_refused_start(cell, run, now_ms, "fence", gang_of != NULL);
+		else
+			cell->options.ops->fenced(cell->options.data, executor->id);
 		break;
 	case WAXWING_START_REJECTED:
 	case WAXWING_START_UNHEALTHY:
--- a/test/test_cell_fence.c
+++ b/test/test_cell_fence.c
@@ -157,6 +157,44 @@
 	tear_down(&fixture);
 }
 
+static void answer_hold_fenced(struct fixture *fixture)
+{
+	struct waxwing_hold_answer answer = { .result = WAXWING_HOLD_FENCED,
+					      .call = fixture->recorder.last_call };
+
+	waxwing_cell_hold_answered(fixture->cell, fixture->now_ms, fixture->recorder.handle,
+				   &answer);
+	waxwing_cell_advance(fixture->cell, fixture->now_ms);
+}
+
+/*
+ * Guards against an owner that gives up its cell because an executor rejects orders with a token that
+ * this owner has replaced itself, when its entry was removed and stored again.
+ */
+static void test_own_newer_token(void)
+{
+	struct fixture fixture;
+	const struct start *start;
+
+	set_up(&fixture, false);
+	ready_executor(&fixture, "a", EXECUTOR_CPU);
+	accept_durable_job(&fixture, 1);
+	advance(&fixture, 5);
+	start = start_at(&fixture, 0);
+	waxwing_cell_set_token(fixture.cell, 9);
+	waxwing_cell_start_answered(fixture.cell, fixture.now_ms, start->handle, &start->run_id,
+				    WAXWING_START_FENCED, 0);
+	waxwing_cell_advance(fixture.cell, fixture.now_ms);
+	g_assert_cmpuint(fixture.recorder.starts->len, ==, 2);
+	fixture.recorder.holds = 0;
+	answer_hold_fenced(&fixture);
+	g_assert_cmpuint(fixture.recorder.fenced, ==, 0);
+	g_assert_cmpuint(fixture.recorder.holds, ==, 1);
+	answer_hold_fenced(&fixture);
+	g_assert_cmpuint(fixture.recorder.fenced, ==, 1);
+	tear_down(&fixture);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -167,5 +205,6 @@
 	g_test_add_func("/cell/fence/foreign_end", test_foreign_end);
 	g_test_add_func("/cell/fence/restarted_with_earlier_time",
 			test_restarted_with_earlier_time);
+	g_test_add_func("/cell/fence/own_newer_token", test_own_newer_token);
 	return g_test_run();
 }
