Cell: refusals of starts are logged in one place; comments

A refusal of a repeated order was logged as an unanswered start only. The event start_refused now has the reason and whether the order was repeated.

--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -147,7 +147,7 @@
 	const char *address;
 	uint64_t handle; /**< identifies the executor in answers */
 	uint64_t fencing_token;
-	/** connect anew: an idle connection to the executor was closed by it */
+	/** do not use an idle connection, since the executor has just closed one */
 	bool new_connection;
 };
 
--- a/src/cell/cell_run.c
+++ b/src/cell/cell_run.c
@@ -213,15 +213,12 @@
 }
 
 /* Discards a run that did not start, and makes its task ready again. */
-static void discard_unstarted(struct waxwing_cell *cell, struct cell_run *run, const char *why)
+static void discard_unstarted(struct waxwing_cell *cell, struct cell_run *run)
 {
 	struct cell_job *job = run->job;
 	uint32_t step = run->id.step;
 	uint32_t index = run->id.index;
 
-	waxwing_event("start_refused", "job=%016llx step=%u index=%u run=%u executor=%s why=%s",
-		      (unsigned long long)run->id.job, step, index, run->id.run, run->executor->id,
-		      why);
 	if (job)
 		run_task(run)->run = NULL;
 	run_free(cell, run);
@@ -260,7 +257,15 @@
 	executor->hold_requested = true;
 }
 
-/* Expects the end of a run which its executor stops, or has already ended, and then never starts. */
+static void log_refusal(const struct cell_run *run, const char *why)
+{
+	waxwing_event("start_refused",
+		      "job=%016llx step=%u index=%u run=%u executor=%s why=%s resent=%d",
+		      (unsigned long long)run->id.job, run->id.step, run->id.index, run->id.run,
+		      run->executor->id, why, run->start_resent);
+}
+
+/* Expects a list with the end of a run that its executor has stopped, or has refused as old. */
 static void await_end(const struct waxwing_cell *cell, struct cell_run *run, int64_t now_ms)
 {
 	run->stop_deadline_ms = now_ms + cell->options.stop_ms + REMOTE_TIME_MARGIN_MS;
@@ -276,9 +281,7 @@
 static void handle_stale_start(const struct waxwing_cell *cell, struct cell_run *run,
 			       int64_t now_ms)
 {
-	waxwing_event("start_stale", "job=%016llx step=%u index=%u run=%u executor=%s resent=%d",
-		      (unsigned long long)run->id.job, run->id.step, run->id.index, run->id.run,
-		      run->executor->id, run->start_resent);
+	log_refusal(run, "old");
 	if (run->job)
 		run_task(run)->last_run += STALE_RUN_INCREMENT;
 	run->state = RUN_STOPPING;
@@ -326,10 +329,11 @@
 static void handle_refused_start(struct waxwing_cell *cell, struct cell_run *run, int64_t now_ms,
 				 const char *why, bool gang)
 {
+	log_refusal(run, why);
 	if (run->start_resent)
 		handle_lost_start(cell, run, now_ms, gang);
 	else
-		discard_unstarted(cell, run, why);
+		discard_unstarted(cell, run);
 }
 
 void waxwing_cell_start_answered(struct waxwing_cell *cell, int64_t now_ms, uint64_t handle,
@@ -395,7 +399,8 @@
 		break;
 	case WAXWING_START_OTHER_INCARNATION:
 		executor->removed = true;
-		discard_unstarted(cell, run, "other_life");
+		log_refusal(run, "other_life");
+		discard_unstarted(cell, run);
 		break;
 	case WAXWING_START_UNREACHABLE:
 		executor_add_failure(cell, executor, now_ms, START_FAILURE_WEIGHT);
