test_cell_resend: a refusal whose executor is paused no longer hides a fault

/cell/resend/listed/no_capacity passed with the former handling of refusals put back: the only executor gets no runs for 300 ms after a refusal, so no second start could be seen. The test now also checks that the run is kept and its task does not wait. With that handling put back, listed/* and unlisted/* fail for all six refusals. One comment in cell_run.c is plainer.

--- a/src/cell/cell_run.c
+++ b/src/cell/cell_run.c
@@ -226,7 +226,7 @@
 		requeue_task(cell, job, step, index);
 }
 
-/* Returns true if the executor has received the order and answered it. */
+/* Returns true if the executor has answered the order, whether it started the run or not. */
 static bool is_answer(enum waxwing_start_answer answer)
 {
 	return answer != WAXWING_START_UNKNOWN && answer != WAXWING_START_UNREACHABLE &&
--- a/test/test_cell_resend.c
+++ b/test/test_cell_resend.c
@@ -153,6 +153,9 @@
 	answer_start(&fixture, 0, WAXWING_START_CLOSED);
 	answer_start(&fixture, 1, refusal);
 	g_assert_cmpuint(fixture.recorder.starts->len, ==, 2);
+	/* a pause of the executor would hide that the task may start again */
+	g_assert_cmpuint(get_stats(&fixture).runs, ==, 1);
+	g_assert_cmpuint(get_stats(&fixture).waiting_tasks, ==, 0);
 	advance(&fixture, TICK_MS);
 	list_done(&fixture, handle);
 	advance(&fixture, SETTLE_MS);
